--- /dev/null
+++ b/src/decide.cpp
@@ -0,0 +1,701 @@
+// The decisions of granitereel: which store runs a transaction, when, and what its client is told.
+//
+// How it is called: one Front serves one front. Its interface, and the Outlet through which it acts,
+// stand in front.hpp. The caller sets the clock, then hands over what has come in, in the order of
+// arrival: list entries, transactions, endings of launches, reports, probe results and its own timers.
+// The Front answers by calls on its Outlet. It keeps no threads, and sees nothing but these calls.
+//
+// Read it in the order of its sections: list and roles, pools, freshness, health, pick, launch and
+// outcome, rule guards. docs/design.md tells which parts come from the paper.
+#include "front.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace granitereel {
+
+namespace {
+int tierOf(const Lane& lane) { return lane.premium ? 0 : 1; }
+Pool poolOf(int tier) { return tier == 0 ? Pool::premium : Pool::freemium; }
+}  // namespace
+
+Front::Front(const Charter& charter, std::uint64_t seed, Nanos now, Outlet& outlet)
+    : out_(outlet), chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483647)), now_(now) {
+    lanes_ = charter.lanes;
+    laneTime_.resize(lanes_.size());
+    front_ = charter.front;
+    fronts_ = std::max(1, charter.fronts);
+    zone_ = charter.zone;
+    launchLimit_ = charter.launchLimit;
+    mayProbe_ = charter.mayProbe;
+    mayCancel_ = charter.mayCancel;
+    mustAsk_ = charter.mustAsk;
+    storesCheck_ = charter.storesCheck;
+    marksKept_ = charter.marksKept;
+    probeTellsRole_ = charter.mayProbe && charter.reportsTellRole;
+    onlyDrainingBinds_ = charter.onlyDrainingBinds;
+    tick_ = std::max<Nanos>(charter.tick, millis(1));
+    coldTime_ = charter.coldTime;
+    coldFrom_ = charter.coldFrom;
+    // A cold store is given at most this multiple of what its share of the warm stores' work would be.
+    // Half the allowed multiple leaves room for chance; beyond 2 it would only queue.
+    coldFactor_ = std::min(2.0, 0.5 * charter.fallMultiple);
+    // Clients that heed advice are asked to stay away a tenth of the longest they would heed.
+    advice_ = charter.adviceHeard ? charter.longestAdvice / 10 : 0;
+    // The list is asked again after 0.7 of the time in which silence counts as having been told.
+    askEvery_ = charter.askWithin * 7 / 10;
+    // Premium covers the read lanes of the highest gain (step 2 of the design).
+    double top = 0;
+    Nanos bound = 0;
+    for (const Lane& lane : lanes_) {
+        if (lane.need == Need::write || lane.need == Need::fresh) continue;
+        top = std::max(top, lane.gain);
+        if (lane.need == Need::bounded) bound = bound == 0 ? lane.bound : std::min(bound, lane.bound);
+    }
+    for (Lane& lane : lanes_) lane.premium = lane.gain >= top;
+    // Half the tightest bound; without a bounded lane, a quarter of a second for the sessions' sake.
+    probeAge_ = bound > 0 ? bound / 2 : millis(250);
+    askAt_ = now_;
+    out_.wake(now_, 0);
+}
+
+Store* Front::find(const std::string& id) {
+    auto it = stores_.find(id);
+    return it == stores_.end() ? nullptr : it->second.get();
+}
+
+// ---- list and roles -------------------------------------------------------------------------------
+
+void Front::tendList() {
+    if (!mustAsk_ || now_ < askAt_) return;
+    askAt_ = now_ + askEvery_;
+    out_.followList(true);
+}
+
+void Front::listBegins(bool whole) {
+    unseen_.clear();
+    if (whole)
+        for (auto& [id, store] : stores_)
+            if (store->standing != Standing::removed) unseen_.push_back(store.get());
+}
+
+void Front::listEntry(const std::string& id, int groupNo, int zone, Standing standing, Nanos started,
+                      bool primary) {
+    std::erase_if(unseen_, [&](Store* s) { return s->id == id; });
+    Group& group = groups_[groupNo];
+    auto& slot = stores_[id];
+    if (!slot) {
+        slot = std::make_unique<Store>();
+        slot->id = id;
+        slot->group = groupNo;
+        slot->zone = zone;
+        slot->started = started;
+        // Launches that a front keeps out at a store before it has seen it work: twice what two tiers
+        // at the starting threshold would put there.
+        slot->window = 8;
+        group.members.push_back(slot.get());
+        std::sort(group.members.begin(), group.members.end(), [](auto* a, auto* b) { return a->id < b->id; });
+        group.redeal = true;
+    }
+    Store& store = *slot;
+    if (started > store.started) {  // it has started again: cold, and perhaps no longer the primary
+        store.started = started;
+        store.suspectSince = store.awaySince = 0;
+        store.stretch = {};
+    }
+    if (standing != store.standing) standDown(store, standing);
+    if (primary && !store.listedAsPrimary && !group.primary && !store.toldReplica) setPrimary(group, &store);
+    store.listedAsPrimary = primary;
+}
+
+void Front::listEnds() {
+    for (Store* store : unseen_) standDown(*store, Standing::removed);
+    unseen_.clear();
+    for (auto& [no, group] : groups_)
+        if (group.redeal) deal(group);
+}
+
+void Front::listFailed() {
+    // Asked again after half a second to a second and a half, spread by chance so that fronts that
+    // failed together don't call together.
+    askAt_ = std::min(askAt_, now_ + millis(500 + chance_() % 1000));
+}
+
+void Front::standDown(Store& store, Standing standing) {
+    if (standing == Standing::removed && onlyDrainingBinds_ && store.standing == Standing::up) return;
+    store.standing = standing;
+    Group& group = groups_[store.group];
+    group.redeal = true;
+    if (group.primary == &store && standing != Standing::up) setPrimary(group, nullptr);
+}
+
+// Positions are times, so a report that says 'primary' tells when it was made. Of two statements the
+// later one holds.
+void Front::tellRole(Store& store, Role role, Nanos asOf, bool byAnswer) {
+    store.roleHeard = now_;
+    if (byAnswer) store.toldReplica = role == Role::replica;
+    if (asOf < store.roleAsOf) return;
+    store.role = role;
+    store.roleAsOf = asOf;
+    Group& group = groups_[store.group];
+    if (role == Role::replica && group.primary == &store) setPrimary(group, nullptr);
+    if (role == Role::primary && group.primary != &store && store.standing == Standing::up &&
+        (!group.primary || group.primary->roleAsOf < asOf))
+        setPrimary(group, &store);
+}
+
+void Front::setPrimary(Group& group, Store* store) {
+    if (group.primary == store) return;
+    const Store* named = store ? store : group.primary;
+    out_.log("group " + std::to_string(named->group) + (store ? ": primary is " : ": primary lost, was ") +
+             named->id);
+    group.primary = store;
+    group.redeal = true;
+}
+
+void Front::seekPrimary(Group& group) {
+    // Five looks a second: a switch takes seconds, and a look costs each member a probe.
+    if (!probeTellsRole_ || now_ - group.soughtAt < millis(200)) return;
+    group.soughtAt = now_;
+    for (Store* store : group.members) probe(*store);
+}
+
+Store* Front::pickForWrite(Group& group, const Transaction& transaction) {
+    if (group.primary) {
+        if (!wellEnough(*group.primary)) return nullptr;
+        return hasRoom(*group.primary, transaction) ? group.primary : nullptr;
+    }
+    // Unknown: members in order, past each that has said within the last second that it is none. The
+    // last launch is kept for the primary.
+    if (transaction.launches + 1 >= launchLimit_) return nullptr;
+    for (Store* store : group.members) {
+        if (store->standing != Standing::up || !wellEnough(*store) || !hasRoom(*store, transaction)) continue;
+        if (store->role == Role::replica && now_ - store->roleHeard < millis(1000)) continue;
+        return store;
+    }
+    return nullptr;
+}
+
+// ---- pools ----------------------------------------------------------------------------------------
+
+namespace {
+// The threshold at which a replica counts as full for a tier, and the watermarks below which a tier
+// gives borrowed replicas back: the design's starting values.
+constexpr int theta = 2;
+constexpr double alpha[2] = {0.60, 0.80};
+constexpr int freemiumFloor = 1;
+// Half-life of the tiers' measured work, by which the replicas are split.
+constexpr Nanos splitMemory = millis(10'000);
+}  // namespace
+
+void Front::deal(Group& group) {
+    group.redeal = false;
+    std::vector<Store*> replicas;
+    for (Store* store : group.members) {
+        store->pool = store->lender = Pool::none;
+        if (store->standing == Standing::up && store != group.primary) replicas.push_back(store);
+    }
+    const int n = static_cast<int>(replicas.size());
+    group.target[0] = group.target[1] = 0;
+    if (n == 0) return;
+    group.target[0] = std::clamp(static_cast<int>(std::lround(0.4 * n)), 1, std::max(1, n - 1));
+    group.target[1] = std::min(std::max(1, static_cast<int>(std::lround(0.4 * n))), n - group.target[0]);
+    for (int i = 0; i < n; ++i) {
+        Store* store = replicas[(i + front_) % n];
+        store->pool = i < group.target[0]                     ? Pool::premium
+                      : i < group.target[0] + group.target[1] ? Pool::freemium
+                                                              : Pool::mixed;
+    }
+}
+
+int Front::poolLoad(const Store& store, int tier) const {
+    return store.lender == Pool::none ? store.load[tier] : store.load[0] + store.load[1];
+}
+
+int Front::poolSize(const Group& group, Pool pool) const {
+    return static_cast<int>(std::count_if(group.members.begin(), group.members.end(),
+                                          [&](const Store* s) { return s->pool == pool; }));
+}
+
+void Front::giveBack(Group& group, int tier) {
+    const int watermark = static_cast<int>(alpha[tier] * theta);
+    const bool eased = std::any_of(group.members.begin(), group.members.end(), [&](const Store* s) {
+        return s->pool == poolOf(tier) && s->lender == Pool::none && s->load[tier] < watermark;
+    });
+    if (!eased) return;
+    for (Store* store : group.members) {
+        if (store->pool != poolOf(tier) || store->lender == Pool::none || store->load[tier] > 0) continue;
+        const int lender = store->lender == Pool::premium ? 0 : 1;
+        const bool below =
+            store->lender != Pool::mixed && poolSize(group, store->lender) < group.target[lender];
+        store->pool = below ? store->lender : Pool::mixed;
+        store->lender = Pool::none;
+    }
+}
+
+// ---- freshness ------------------------------------------------------------------------------------
+
+void Front::tellPosition(Store& store, Nanos position) {
+    store.position = std::max(store.position, position);
+    store.positionTold = now_;
+}
+
+bool Front::freshEnough(const Store& store, const Transaction& transaction) const {
+    const Lane& lane = lanes_[transaction.lane];
+    switch (lane.need) {
+        case Need::any:
+            return true;
+        case Need::bounded:
+            return store.position >= now_ - lane.bound;
+        case Need::session:
+            return store.position >= transaction.mustSee;
+        default:
+            return false;
+    }
+}
+
+bool Front::mayReadPrimary(const Store& store) const {
+    return store.standing == Standing::up && !store.toldReplica;
+}
+
+void Front::keepFresh(Store& store, const Transaction& transaction) {
+    if (lanes_[transaction.lane].need == Need::any) return;
+    if (now_ - store.position <= probeAge_) return;
+    if (now_ - std::max(store.positionTold, store.probedAt) <= probeAge_) return;
+    probe(store);
+}
+
+// ---- health ---------------------------------------------------------------------------------------
+
+namespace {
+// Gaps and stretches are remembered for some seconds: shorter than most troubles, longer than chance.
+constexpr Nanos healthMemory = millis(5'000);
+// Half-life of a lane's mean time: long, since the lanes' work does not change within a day.
+constexpr Nanos laneMemory = millis(30'000);
+// Before a lane or a store has been seen, an answer is expected within this.
+constexpr double firstGuess = 100e6;
+}  // namespace
+
+double Front::workOf(int lane) { return laneTime_[lane].read(now_, laneMemory, firstGuess); }
+
+void Front::hear(Store& store, bool byWork) {
+    if (byWork) {
+        Nanos since = store.heard;
+        if (!store.out.empty()) since = std::max(since, store.out.front().sent);
+        if (store.heard > 0) store.gaps.add(now_, healthMemory, double(now_ - since));
+        store.heard = now_;
+        if (store.suspectSince) out_.log("store " + store.id + " answers again");
+        store.suspectSince = 0;
+    }
+    if (store.awaySince) {
+        out_.log("store " + store.id + " is reachable again");
+        // Away for a second or more, it may have started again; the list may tell so much later.
+        if (now_ - store.awaySince > millis(1000)) store.started = std::max(store.started, now_);
+        store.awaySince = 0;
+    }
+}
+
+void Front::distrust(Store& store, bool away) {
+    Nanos& since = away ? store.awaySince : store.suspectSince;
+    if (since) return;
+    since = now_;
+    // The first trial comes soon, since most silences are short; each later one after twice the pause.
+    store.trialPause = millis(250);
+    store.nextTrial = now_ + store.trialPause;
+    out_.log("store " + store.id + (away ? " is out of reach" : " is silent"));
+    recall(store);
+}
+
+// Calls back what can safely run elsewhere.
+void Front::recall(Store& store) {
+    if (!mayCancel_) return;
+    for (Launch& launch : store.out) {
+        if (launch.cancelled || lanes_[launch.lane].effect != Effect::harmless) continue;
+        if (!transactions_.count(launch.transaction)) continue;
+        launch.cancelled = true;
+        out_.cancel(launch.transaction, launch.number);
+    }
+}
+
+// Silence counts from the last answer, or from the oldest launch that ought to be quick.
+void Front::judgeSilence(Store& store) {
+    if (store.suspectSince || store.awaySince) return;
+    double quickest = std::numeric_limits<double>::max();
+    for (std::size_t lane = 0; lane < lanes_.size(); ++lane) quickest = std::min(quickest, workOf(lane));
+    Nanos since = std::numeric_limits<Nanos>::max();
+    for (const Launch& launch : store.out)
+        if (!launch.cancelled && workOf(launch.lane) < 4 * quickest) since = std::min(since, launch.sent);
+    if (since == std::numeric_limits<Nanos>::max()) return;
+    const double silence = double(now_ - std::max(since, store.heard));
+    // Gaps are about exponential: one of 8 means is seen once in 3000. The further 100 ms forgive the
+    // short stalls that every store has.
+    if (silence > 8 * store.gaps.read(now_, healthMemory, firstGuess / 2) + 100e6) distrust(store, false);
+}
+
+bool Front::wellEnough(const Store& store) const {
+    if (store.awaySince && mayProbe_) return false;  // the probes of round() find out
+    return (!store.suspectSince && !store.awaySince) || now_ >= store.nextTrial;
+}
+
+double Front::coldShare(const Store& store) const {
+    if (store.started == 0 || now_ - store.started >= coldTime_) return 1;
+    return coldFrom_ + (1 - coldFrom_) * double(now_ - store.started) / double(coldTime_);
+}
+
+double Front::coldRate(const Store& store) const {
+    // Where nothing is known of warm stores, one launch of the first guess each half second.
+    return std::max(coldShare(store) * coldFactor_ * bearing_, firstGuess / 0.5e9);
+}
+
+bool Front::coldRoom(Store& store, double work) {
+    if (coldShare(store) >= 1) return true;
+    // A long transaction is a large part of a cold store's budget by itself.
+    double mean = 0;
+    for (std::size_t lane = 0; lane < lanes_.size(); ++lane) mean += workOf(lane) / double(lanes_.size());
+    if (work > 2 * mean) return false;
+    const double earned = coldRate(store) * double(now_ - store.coldCreditAt);
+    store.coldCredit = std::min(work, store.coldCredit + earned);
+    store.coldCreditAt = now_;
+    return store.coldCredit > 0;
+}
+
+bool Front::hasRoom(Store& store, const Transaction& transaction) {
+    // Where reads spill over to the primary, writes keep a third of the window for themselves.
+    const bool write = lanes_[transaction.lane].need == Need::write;
+    if (double(store.out.size()) >= store.window * (write ? 1.5 : 1.0)) return false;
+    return coldRoom(store, workOf(transaction.lane));
+}
+
+// ---- pick -----------------------------------------------------------------------------------------
+
+Store* Front::pickReplica(Group& group, const Transaction& transaction) {
+    const int tier = tierOf(lanes_[transaction.lane]);
+    if (group.redeal) deal(group);
+    giveBack(group, tier);
+    auto usable = [&](Store* s) {
+        return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
+               freshEnough(*s, transaction) && hasRoom(*s, transaction);
+    };
+    // The least by (load, other zone, id), of the members that a condition admits.
+    auto least = [&](auto admits, auto load) {
+        Store* best = nullptr;
+        std::pair<int, bool> bestKey;
+        for (Store* s : group.members) {
+            if (!admits(s) || !usable(s)) continue;
+            const std::pair<int, bool> key{load(s), s->zone != zone_};
+            if (!best || key < bestKey) best = s, bestKey = key;
+        }
+        return best;
+    };
+    auto own = [&](Store* s) { return s->pool == poolOf(tier); };
+    auto ownLoad = [&](Store* s) { return poolLoad(*s, tier); };
+    for (Store* s : group.members)
+        if (own(s) || s->pool == Pool::mixed) keepFresh(*s, transaction);
+
+    Store* ownLeast = least(own, ownLoad);
+    if (ownLeast && ownLoad(ownLeast) < theta) return ownLeast;
+
+    auto borrow = [&](Store* s) {
+        s->lender = s->pool;
+        s->pool = poolOf(tier);
+        return s;
+    };
+    // Mixed first: least load of the borrower, then of the other tier.
+    auto mixed = [&](Store* s) { return s->pool == Pool::mixed; };
+    if (Store* s = least(mixed, [&](Store* m) { return m->load[tier] * 1000 + m->load[1 - tier]; }))
+        return borrow(s);
+    if (tier == 0 && poolSize(group, Pool::freemium) - 1 >= freemiumFloor) {
+        const int mine = ownLeast ? ownLoad(ownLeast) : std::numeric_limits<int>::max();
+        auto lighter = [&](Store* s) { return s->pool == Pool::freemium && s->load[0] + s->load[1] < mine; };
+        if (Store* s = least(lighter, [](Store* m) { return m->load[0] + m->load[1]; })) return borrow(s);
+    }
+    if (tier == 1 && poolSize(group, Pool::premium) - 1 >= group.target[0]) {
+        auto empty = [&](Store* s) { return s->pool == Pool::premium && s->load[0] == 0; };
+        if (Store* s = least(empty, [](Store* m) { return m->load[1]; })) return borrow(s);
+    }
+    if (ownLeast) return ownLeast;
+    // Departure: no own replica will do. A replica of the other tier that will do is used, without being
+    // borrowed, before the primary is burdened.
+    return least([](Store*) { return true; }, [](Store* s) { return s->load[0] + s->load[1]; });
+}
+
+Store* Front::pick(Group& group, const Transaction& transaction) {
+    const Need need = lanes_[transaction.lane].need;
+    if (need == Need::write) return pickForWrite(group, transaction);
+    if (need != Need::fresh)
+        if (Store* replica = pickReplica(group, transaction)) return replica;
+    Store* primary = group.primary;
+    if (storesCheck_ && need != Need::fresh) {
+        // Stores that check for themselves: the least-behind replica may have caught up by now.
+        Store* best = nullptr;
+        for (Store* s : group.members)
+            if (s->standing == Standing::up && s != primary && wellEnough(*s) && hasRoom(*s, transaction) &&
+                s->position >= transaction.mustSee && (!best || s->position > best->position))
+                best = s;
+        if (best && transaction.launches + 1 < launchLimit_) return best;
+    }
+    if (primary && mayReadPrimary(*primary) && wellEnough(*primary) && hasRoom(*primary, transaction))
+        return primary;
+    return nullptr;
+}
+
+// ---- launch and outcome ---------------------------------------------------------------------------
+
+void Front::take(const std::string& id, int lane, const std::string& user, Nanos patience, int groupNo,
+                 std::optional<Nanos> sinceWrite) {
+    auto& slot = transactions_[id];
+    slot = std::make_unique<Transaction>();
+    Transaction& t = *slot;
+    t.id = id;
+    t.user = user;
+    t.lane = lane;
+    t.group = &groups_[groupNo];
+    t.arrived = now_;
+    t.goal = now_ + lanes_[lane].goalTime;
+    t.cutOff = now_ + patience;
+    if (sinceWrite) t.mustSee = now_ - *sinceWrite;
+    if (lanes_[lane].need == Need::session && marksKept_) {
+        auto mark = marks_.find(user);
+        if (mark == marks_.end()) mark = olderMarks_.find(user);
+        t.mustSee = mark == marks_.end() || mark == olderMarks_.end() ? markFloor_ : mark->second;
+    }
+    route(t);
+}
+
+void Front::route(Transaction& t) {
+    if (hopeless(t) || t.launches >= launchLimit_) return finish(t);
+    if (Store* store = now_ < t.notBefore ? nullptr : pick(*t.group, t)) return launch(t, *store);
+    hold(t);
+}
+
+void Front::launch(Transaction& t, Store& store) {
+    if (!mayLaunch(t, store)) return finish(t);
+    const Lane& lane = lanes_[t.lane];
+    store.out.push_back({t.id, t.launches++, t.lane, now_, false});
+    ++t.out;
+    ++store.load[tierOf(lane)];
+    store.lastLaunch = now_;
+    if (coldShare(store) < 1) store.coldCredit -= workOf(t.lane);
+    if (store.suspectSince || store.awaySince) {
+        store.trialPause = std::min(2 * store.trialPause, millis(2000));
+        store.nextTrial = now_ + store.trialPause;
+    }
+    out_.launch(t.id, store.id, 0);
+    if (lane.effect == Effect::harmless) {
+        t.next = [this, &t](Ending) { route(t); };
+        return;
+    }
+    t.next = [this, &t, sent = now_, zone = store.zone](Ending how) {
+        const bool neverRan = how == Ending::full || how == Ending::unreachable || how == Ending::unsent ||
+                              how == Ending::missed;
+        if (!neverRan && !t.mayHaveRunSince) t.mayHaveRunSince = sent, t.boundZone = zone;
+        // A primary that is full is left alone for a moment; other members would only miss.
+        if (how == Ending::full) t.notBefore = now_ + millis(30);
+        if (!neverRan && lanes_[t.lane].effect == Effect::oneShot) return finish(t);
+        route(t);
+    };
+}
+
+void Front::ended(const std::string& id, int launchNo, const std::string& storeId, Ending how, Nanos delay,
+                  Role role, std::optional<Nanos> position, bool over) {
+    Store* store = find(storeId);
+    if (!store) return;
+    auto launch = std::find_if(store->out.begin(), store->out.end(), [&](const Launch& l) {
+        return l.number == launchNo && l.transaction == id;
+    });
+    if (launch == store->out.end()) return;
+    const Launch done = *launch;
+    if (how == Ending::delivered || how == Ending::error || how == Ending::full || how == Ending::missed)
+        hear(*store, true);
+    store->out.erase(launch);
+    --store->load[tierOf(lanes_[done.lane])];
+    if (role != Role::unknown) tellRole(*store, role, now_, true);
+    // A commit is told rounded up to the next millisecond, a position rounded down.
+    if (position) tellPosition(*store, *position - (lanes_[done.lane].need == Need::write ? millis(1) : 0));
+    settleAccount(*store, done, how, delay);
+
+    auto it = transactions_.find(id);
+    if (it != transactions_.end()) {
+        Transaction& t = *it->second;
+        --t.out;
+        if (how == Ending::delivered && position && marksKept_ && lanes_[t.lane].need == Need::write) {
+            // Two generations of marks bound the memory; a forgotten one is answered by the newest of
+            // its generation, which asks for more than needed. 20,000 is some minutes of writes.
+            if (marks_.size() >= 20'000) {
+                for (auto& [user, mark] : olderMarks_) markFloor_ = std::max(markFloor_, mark);
+                olderMarks_ = std::move(marks_);
+                marks_.clear();
+            }
+            Nanos& mark = marks_[t.user];
+            mark = std::max(mark, *position);
+        }
+        if (over) {
+            forget(t);
+        } else if (t.next) {
+            auto step = std::move(t.next);
+            t.next = nullptr;
+            step(how);
+        }
+    }
+    // A few at each answer, all of them in round().
+    serveHeld(groups_[store->group], 4);
+}
+
+// What a launch's ending says of its store.
+void Front::settleAccount(Store& store, const Launch& launch, Ending how, Nanos delay) {
+    const Lane& lane = lanes_[launch.lane];
+    if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
+    auto shrink = [&](double share) {
+        // Once per fifth of a second: answers that were sent together are one sign.
+        if (now_ - store.shrunk < millis(200)) return;
+        store.shrunk = now_;
+        store.window = std::max(2.0, share * std::min(store.window, double(store.out.size()) + 1));
+    };
+    if (how == Ending::full) shrink(0.7);
+    if (how != Ending::delivered) return;
+    store.stretch.add(now_, healthMemory, double(delay) / workOf(launch.lane));
+    laneTime_[launch.lane].add(now_, laneMemory, double(delay));
+    store.borne.add(now_, healthMemory, workOf(launch.lane));
+    // The window grows by one for each full window of answers in good time, and shrinks when an answer
+    // comes near its goal time: waiting then is better done here, where the highest gain goes first.
+    if (double(delay) > 0.8 * double(lane.goalTime))
+        shrink(0.85);
+    else if (double(store.out.size()) + 1 >= 0.75 * store.window)
+        store.window += 1 / store.window;
+}
+
+void Front::hold(Transaction& t) {
+    t.next = [this, &t](Ending) { route(t); };
+    t.held = true;
+    auto before = [&](const Transaction* a, const Transaction* b) {
+        const double x = lanes_[a->lane].gain, y = lanes_[b->lane].gain;
+        return x != y ? x > y : a->arrived < b->arrived;
+    };
+    auto& held = t.group->held;
+    held.insert(std::upper_bound(held.begin(), held.end(), &t, before), &t);
+}
+
+void Front::serveHeld(Group& group, std::size_t most) {
+    if (group.held.empty()) return;
+    const auto first = group.held.begin();
+    const auto last = first + static_cast<std::ptrdiff_t>(std::min(most, group.held.size()));
+    const std::vector<Transaction*> batch(first, last);
+    group.held.erase(first, last);
+    for (Transaction* t : batch) {
+        t->held = false;
+        auto step = std::move(t->next);
+        step(Ending::unsent);
+    }
+}
+
+// Whether a transaction can no longer earn anything, or no longer be launched by the rules.
+bool Front::hopeless(const Transaction& t) {
+    const Lane& lane = lanes_[t.lane];
+    // Half the usual time: some are quicker. Two ticks for the way back.
+    const Nanos soonest = now_ + static_cast<Nanos>(0.5 * workOf(t.lane)) + 2 * tick_;
+    if (soonest > t.cutOff || (lane.lateShare <= 0 && soonest > t.goal)) return true;
+    return lane.effect == Effect::stamped && t.mayHaveRunSince && now_ >= t.mayHaveRunSince + lane.window;
+}
+
+void Front::finish(Transaction& t) {
+    if (mayNack(t))
+        out_.nack(t.id, advice_);
+    else
+        out_.writeOff(t.id);
+    forget(t);
+}
+
+void Front::forget(Transaction& t) {
+    if (t.held) std::erase(t.group->held, &t);
+    if (t.out > 0 && mayCancel_)
+        for (Store* store : t.group->members)
+            for (Launch& launch : store->out)
+                if (!launch.cancelled && launch.transaction == t.id) {
+                    launch.cancelled = true;
+                    out_.cancel(launch.transaction, launch.number);
+                }
+    transactions_.erase(t.id);
+}
+
+// The answer of a streamed lane has begun: the client has it now, and no time binds it any more.
+void Front::begun(const std::string& id) {
+    auto it = transactions_.find(id);
+    if (it == transactions_.end()) return;
+    it->second->goal = it->second->cutOff = std::numeric_limits<Nanos>::max();
+}
+
+void Front::lapsed(const std::string& id) {
+    auto it = transactions_.find(id);
+    if (it != transactions_.end()) forget(*it->second);
+}
+
+void Front::probe(Store& store) {
+    if (!mayProbe_ || store.probing || store.standing != Standing::up) return;
+    store.probing = true;
+    store.probedAt = now_;
+    out_.probe(store.id);
+}
+
+void Front::probed(const std::string& id, Ending how) {
+    Store* store = find(id);
+    if (!store) return;
+    store->probing = false;
+    if (how == Ending::delivered) return hear(*store, false);
+    if (how == Ending::full || store->heard >= store->probedAt) return;
+    distrust(*store, true);
+}
+
+void Front::reported(const std::string& id, std::optional<Nanos> position, std::optional<bool> primary) {
+    Store* store = find(id);
+    if (!store) return;
+    if (position) tellPosition(*store, *position);
+    if (primary && position) tellRole(*store, *primary ? Role::primary : Role::replica, *position, false);
+}
+
+// The front's own clockwork, every 20 ms: a tenth of the tightest goal times met so far.
+void Front::round() {
+    out_.wake(now_ + millis(20), 0);
+    tendList();
+    double borne = 0;
+    int warm = 0;
+    for (auto& [id, store] : stores_) {
+        if (store->standing != Standing::up) continue;
+        judgeSilence(*store);
+        if (store->awaySince && now_ >= store->nextTrial) {
+            store->trialPause = std::min(2 * store->trialPause, millis(1000));
+            store->nextTrial = now_ + store->trialPause;
+            probe(*store);
+        }
+        if (coldShare(*store) < 1 || store->awaySince || store->suspectSince) continue;
+        // A decaying sum of halves holds 1/ln 2 half-lives' worth.
+        borne += store->borne.read(now_, healthMemory) * 0.693 / double(healthMemory);
+        ++warm;
+    }
+    if (warm > 0) bearing_ = borne / warm;
+    for (auto& [no, group] : groups_) {
+        if (group.redeal) deal(group);
+        if (!group.primary || !wellEnough(*group.primary)) seekPrimary(group);
+        serveHeld(group, group.held.size());
+    }
+}
+
+void Front::woke(std::int64_t) { round(); }
+
+// ---- rule guards ----------------------------------------------------------------------------------
+
+bool Front::mayLaunch(const Transaction& t, const Store& store) const {
+    const Lane& lane = lanes_[t.lane];
+    if (store.standing != Standing::up || t.out > 0 || t.launches >= launchLimit_) return false;
+    if (!t.mayHaveRunSince || lane.effect == Effect::harmless) return true;
+    if (lane.effect == Effect::oneShot || now_ >= t.mayHaveRunSince + lane.window) return false;
+    return lane.reach != Reach::zone || store.zone == t.boundZone;
+}
+
+bool Front::mayNack(const Transaction& t) const {
+    const Lane& lane = lanes_[t.lane];
+    if (lane.effect == Effect::harmless) return true;
+    if (lane.effect == Effect::stamped && lane.reach == Reach::everywhere) return true;
+    return t.out == 0 && !t.mayHaveRunSince;
+}
+
+}  // namespace granitereel
--- /dev/null
+++ b/src/front.hpp
@@ -0,0 +1,250 @@
+// The interface of the decision module and the state it works on. What is decided, and by which
+// figures, stands in decide.cpp alone.
+#pragma once
+
+#include <cmath>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace granitereel {
+
+using Nanos = std::int64_t;
+constexpr Nanos millis(std::int64_t n) { return n * 1'000'000; }
+
+enum class Effect { harmless, stamped, oneShot };
+enum class Reach { group, zone, everywhere };  // which stores drop the repeats of a stamped transaction
+enum class Need { any, bounded, session, fresh, write };
+enum class Ending { delivered, error, full, timedOut, unreachable, broken, cancelled, unsent, missed };
+enum class Role { unknown, primary, replica };
+enum class Standing { up, draining, removed };
+enum class Pool { premium, freemium, mixed, none };
+
+// What the operators lay down for one kind of transaction.
+struct Lane {
+    std::string name;
+    Need need = Need::any;
+    Effect effect = Effect::harmless;
+    Reach reach = Reach::everywhere;
+    double gain = 1;
+    double lateShare = 0;  // of the gain, once the goal time has passed
+    Nanos goalTime = 0;
+    Nanos window = 0;  // how long repeats of a stamped transaction are dropped
+    Nanos bound = 0;   // oldest data a bounded read may see
+    bool premium = false;
+};
+
+// What the operators lay down for the deployment.
+struct Charter {
+    std::vector<Lane> lanes;
+    int front = 0, fronts = 1, zone = 0;
+    int launchLimit = 1;
+    bool mayProbe = false, mayCancel = false, adviceHeard = false;
+    bool mustAsk = false, storesCheck = false, marksKept = false;
+    bool reportsTellRole = false, reportsTellPosition = false, onlyDrainingBinds = false;
+    Nanos longestAdvice = 0, askWithin = 0, tick = 0, coldTime = 0;
+    double coldFrom = 1, fallMultiple = 1;
+};
+
+// The ways in which a front acts. Launches of a transaction are numbered from 0 in the order made.
+class Outlet {
+public:
+    virtual ~Outlet() = default;
+    virtual void launch(const std::string& transaction, const std::string& store, Nanos within) = 0;
+    virtual void nack(const std::string& transaction, Nanos comeBackAfter) = 0;
+    virtual void writeOff(const std::string& transaction) = 0;
+    virtual void cancel(const std::string& transaction, int launchNo) = 0;
+    virtual void probe(const std::string& store) = 0;
+    virtual void hangUp(const std::string& store) = 0;
+    virtual void followList(bool on) = 0;
+    virtual void askList() = 0;
+    virtual void tell(std::optional<int> front, const std::string& bytes) = 0;  // none: all of them
+    virtual void wake(Nanos when, std::int64_t handle) = 0;
+    virtual void log(const std::string& line) = 0;
+};
+
+// A sum that halves with each half-life; it is brought up to date when it is read or added to.
+struct DecayingSum {
+    double sum = 0;
+    Nanos at = 0;
+    double read(Nanos now, Nanos halfLife) {
+        if (now > at) sum *= std::exp2(-double(now - at) / double(halfLife));
+        at = now;
+        return sum;
+    }
+    void add(Nanos now, Nanos halfLife, double amount) { sum = read(now, halfLife) + amount; }
+};
+
+// A mean over the recent past: the quotient of two such sums.
+struct RecentMean {
+    DecayingSum total, count;
+    void add(Nanos now, Nanos halfLife, double value) {
+        total.add(now, halfLife, value);
+        count.add(now, halfLife, 1);
+    }
+    // Counts 'otherwise' as one earlier value, so that it fades as values come in.
+    double read(Nanos now, Nanos halfLife, double otherwise) {
+        return (total.read(now, halfLife) + otherwise) / (count.read(now, halfLife) + 1);
+    }
+};
+
+struct Transaction;
+
+// One launch that is out at a store.
+struct Launch {
+    std::string transaction;
+    int number = 0, lane = 0;
+    Nanos sent = 0;
+    bool cancelled = false;
+};
+
+struct Store {
+    std::string id;
+    int group = 0, zone = 0;
+    Standing standing = Standing::up;
+    Nanos started = 0;    // when it was last seen to start; 0: long ago
+    bool listedAsPrimary = false;
+    Role role = Role::unknown;
+    Nanos roleAsOf = 0, roleHeard = 0;
+    bool toldReplica = false;  // an answer has said so, and none since that it is the primary
+    Nanos position = -1;  // commits up to this time are applied; -1: never told
+    Nanos positionTold = 0, probedAt = 0;
+    bool probing = false;
+
+    Pool pool = Pool::none, lender = Pool::none;  // a lender is named while the replica is borrowed
+    int load[2] = {0, 0};                         // reads in flight by tier
+    std::vector<Launch> out;
+
+    Nanos heard = 0;
+    RecentMean gaps, stretch;
+    DecayingSum borne;  // work done for this front
+    double window = 0;  // launches this front keeps out here at most
+    Nanos shrunk = 0;
+    Nanos suspectSince = 0, awaySince = 0, nextTrial = 0, trialPause = 0, lastLaunch = 0;
+    double coldCredit = 0;
+    Nanos coldCreditAt = 0;
+};
+
+struct Group {
+    std::vector<Store*> members;  // in the order of their ids
+    Store* primary = nullptr;
+    int target[2] = {0, 0};
+    bool redeal = true;
+    DecayingSum work[2];  // read work asked for, by tier
+    std::vector<Transaction*> held;
+    Nanos soughtAt = 0;
+};
+
+struct Transaction {
+    std::string id, user;
+    int lane = 0;
+    Group* group = nullptr;
+    Nanos arrived = 0, goal = 0, cutOff = 0, mustSee = 0, notBefore = 0;
+    int launches = 0, out = 0;
+    Nanos mayHaveRunSince = 0;  // send of the first launch that may have run; 0: none may have
+    int boundZone = -1;
+    bool held = false;
+    std::function<void(Ending)> next;  // what the result of the step under way is handed to
+};
+
+class Front {
+public:
+    Front(const Charter& charter, std::uint64_t seed, Nanos now, Outlet& outlet);
+
+    void clock(Nanos now) { now_ = now; }
+
+    // The list: the entries of one event stand between begin and end.
+    void listBegins(bool whole);
+    void listEntry(const std::string& store, int group, int zone, Standing standing, Nanos started,
+                   bool primary);
+    void listEnds();
+    void listFailed();
+
+    void take(const std::string& id, int lane, const std::string& user, Nanos patience, int group,
+              std::optional<Nanos> sinceWrite);
+    void ended(const std::string& id, int launchNo, const std::string& store, Ending how, Nanos delay,
+               Role role, std::optional<Nanos> position, bool over);
+    void begun(const std::string& id);
+    void lapsed(const std::string& id);
+    void reported(const std::string& store, std::optional<Nanos> position, std::optional<bool> primary);
+    void probed(const std::string& store, Ending how);
+    void woke(std::int64_t handle);
+
+private:
+    friend struct Bench;  // the tests build state directly
+
+    // list and roles
+    void tendList();
+    void standDown(Store& store, Standing standing);
+    void tellRole(Store& store, Role role, Nanos asOf, bool byAnswer);
+    void setPrimary(Group& group, Store* store);
+    void seekPrimary(Group& group);
+    Store* pickForWrite(Group& group, const Transaction& transaction);
+    // pools
+    void deal(Group& group);
+    void giveBack(Group& group, int tier);
+    int poolLoad(const Store& store, int tier) const;
+    int poolSize(const Group& group, Pool pool) const;
+    // freshness
+    void tellPosition(Store& store, Nanos position);
+    bool freshEnough(const Store& store, const Transaction& transaction) const;
+    bool mayReadPrimary(const Store& store) const;
+    void keepFresh(Store& store, const Transaction& transaction);
+    // health
+    void hear(Store& store, bool byWork);
+    void distrust(Store& store, bool away);
+    void recall(Store& store);
+    void judgeSilence(Store& store);
+    bool wellEnough(const Store& store) const;
+    double coldShare(const Store& store) const;
+    double coldRate(const Store& store) const;
+    bool coldRoom(Store& store, double work);
+    double workOf(int lane);
+    bool hasRoom(Store& store, const Transaction& transaction);
+    // pick
+    Store* pickReplica(Group& group, const Transaction& transaction);
+    Store* pick(Group& group, const Transaction& transaction);
+    // launch and outcome
+    void route(Transaction& transaction);
+    void launch(Transaction& transaction, Store& store);
+    void settleAccount(Store& store, const Launch& launch, Ending how, Nanos delay);
+    void hold(Transaction& transaction);
+    void serveHeld(Group& group, std::size_t most);
+    bool hopeless(const Transaction& transaction);
+    void finish(Transaction& transaction);
+    void forget(Transaction& transaction);
+    void probe(Store& store);
+    void round();
+    // rule guards
+    bool mayLaunch(const Transaction& transaction, const Store& store) const;
+    bool mayNack(const Transaction& transaction) const;
+
+    Store* find(const std::string& id);
+
+    Outlet& out_;
+    std::minstd_rand chance_;
+    Nanos now_ = 0;
+    std::vector<Lane> lanes_;
+    std::vector<RecentMean> laneTime_;
+    int front_, fronts_, zone_, launchLimit_;
+    bool mayProbe_, mayCancel_, mustAsk_, storesCheck_, marksKept_, probeTellsRole_, onlyDrainingBinds_;
+    Nanos advice_, askEvery_, tick_, coldTime_, probeAge_;
+    double coldFrom_, coldFactor_;
+
+    std::map<std::string, std::unique_ptr<Store>> stores_;
+    std::map<int, Group> groups_;
+    std::unordered_map<std::string, std::unique_ptr<Transaction>> transactions_;
+    std::unordered_map<std::string, Nanos> marks_, olderMarks_;
+    Nanos markFloor_ = 0;
+    std::vector<Store*> unseen_;
+    Nanos askAt_ = 0;
+    double bearing_ = 0;  // work a second that a warm store does for this front
+};
+
+}  // namespace granitereel
