Send long reads to the replica that lags most

Cause: reports spread by the pools stopped log application on every replica in turn; bounded and session reads then fell on the primaries.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -278,6 +278,13 @@
 
 double Front::workOf(int lane) { return laneTime_[lane].read(now_, laneMemory, firstGuess); }
 
+double Front::quickestWork() {
+    double quickest = std::numeric_limits<double>::max();
+    for (std::size_t lane = 0; lane < lanes_.size(); ++lane)
+        quickest = std::min(quickest, workOf(static_cast<int>(lane)));
+    return quickest;
+}
+
 void Front::hear(Store& store, bool byWork) {
     if (byWork) {
         Nanos since = store.heard;
@@ -320,8 +327,7 @@
 // Silence counts from the last answer, or from the oldest launch that ought to be quick.
 void Front::judgeSilence(Store& store) {
     if (store.suspectSince || store.awaySince) return;
-    double quickest = std::numeric_limits<double>::max();
-    for (std::size_t lane = 0; lane < lanes_.size(); ++lane) quickest = std::min(quickest, workOf(lane));
+    const double quickest = quickestWork();
     Nanos since = std::numeric_limits<Nanos>::max();
     for (const Launch& launch : store.out)
         if (!launch.cancelled && workOf(launch.lane) < 4 * quickest) since = std::min(since, launch.sent);
@@ -419,9 +425,33 @@
     return least([](Store*) { return true; }, [](Store* s) { return s->load[0] + s->load[1]; });
 }
 
+// Departure: a long transaction that needs no fresh data goes to the replica that lags most. It stops the
+// application of the log where it runs; spread over the pools it would make every replica unfit for bounded
+// and session reads, so that all of these fall on the primary. It needs no agreement: whichever replica
+// takes the first falls behind and is then chosen by all fronts. It should also keep long work off good
+// replicas when the log is slow or cut off for other reasons. It may hurt where long work is most of the load.
+Store* Front::pickForLong(Group& group, const Transaction& transaction) {
+    Store* best = nullptr;
+    for (Store* s : group.members) {
+        if (s->standing != Standing::up || s == group.primary || !wellEnough(*s)) continue;
+        if (!hasRoom(*s, transaction)) continue;
+        // Lags up to half the bound are alike; then the first by id, so that fronts agree from the start.
+        auto lag = [&](const Store* m) { return std::max(m->positionTold - m->position, probeAge_); };
+        if (!best || lag(s) > lag(best)) best = s;
+    }
+    return best;
+}
+
+bool Front::isLong(int lane) {
+    // Four times the quickest lane: reports stand far above this in every deployment, plain reads far below.
+    return lanes_[lane].need == Need::any && workOf(lane) > 4 * quickestWork();
+}
+
 Store* Front::pick(Group& group, const Transaction& transaction) {
     const Need need = lanes_[transaction.lane].need;
     if (need == Need::write) return pickForWrite(group, transaction);
+    if (isLong(transaction.lane))
+        if (Store* laggard = pickForLong(group, transaction)) return laggard;
     if (need != Need::fresh)
         if (Store* replica = pickReplica(group, transaction)) return replica;
     Store* primary = group.primary;
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -206,9 +206,12 @@
     double coldRate(const Store& store) const;
     bool coldRoom(Store& store, double work);
     double workOf(int lane);
+    double quickestWork();
     bool hasRoom(Store& store, const Transaction& transaction);
     // pick
     Store* pickReplica(Group& group, const Transaction& transaction);
+    bool isLong(int lane);
+    Store* pickForLong(Group& group, const Transaction& transaction);
     Store* pick(Group& group, const Transaction& transaction);
     // launch and outcome
     void route(Transaction& transaction);
