Let a time-out shrink a store's window

Cause: only late answers shrank it, so a primary buried in reads that nobody waited for kept its window.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -582,6 +582,8 @@
         store.window = std::max(2.0, share * std::min(store.window, double(store.out.size()) + 1));
     };
     if (how == Ending::full) shrink(0.7);
+    // A client that would not wait longer is as sure a sign of too long a queue as a late answer.
+    if (how == Ending::timedOut) shrink(0.85);
     if (how != Ending::delivered) return;
     store.stretch.add(now_, healthMemory, double(delay) / workOf(launch.lane));
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
