Leave spilt reads half of the primary's window

Cause: reads for which no replica was fresh enough filled the primary's window, and writes waited with them.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -366,9 +366,10 @@
 }
 
 bool Front::hasRoom(Store& store, const Transaction& transaction) {
-    // Where reads spill over to the primary, writes keep a third of the window for themselves.
-    const bool write = lanes_[transaction.lane].need == Need::write;
-    if (double(store.out.size()) >= store.window * (write ? 1.5 : 1.0)) return false;
+    // Reads that spill over to the primary leave it half of its window for writes and fresh reads.
+    const Need need = lanes_[transaction.lane].need;
+    const bool spilt = groups_[store.group].primary == &store && need != Need::write && need != Need::fresh;
+    if (double(store.out.size()) >= store.window * (spilt ? 0.5 : 1.0)) return false;
     return coldRoom(store, workOf(transaction.lane));
 }
 
