--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -638,16 +638,6 @@
     forget(t);
 }
 
-// Past its goal time a transaction that earns nothing when late only holds its store up.
-void Front::endOverdue(Store& store) {
-    const std::vector<Launch> out = store.out;
-    for (const Launch& launch : out) {
-        auto it = transactions_.find(launch.transaction);
-        if (it == transactions_.end() || now_ <= it->second->goal || lanes_[launch.lane].lateShare > 0) continue;
-        if (lanes_[launch.lane].effect == Effect::harmless) finish(*it->second);
-    }
-}
-
 void Front::forget(Transaction& t) {
     if (t.held) std::erase(t.group->held, &t);
     if (t.out > 0 && mayCancel_)
@@ -704,7 +694,6 @@
     for (auto& [id, store] : stores_) {
         if (store->standing != Standing::up) continue;
         judgeSilence(*store);
-        endOverdue(*store);
         if (store->awaySince && now_ >= store->nextTrial) {
             store->trialPause = std::min(2 * store->trialPause, millis(1000));
             store->nextTrial = now_ + store->trialPause;
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -220,7 +220,6 @@
     void hold(Transaction& transaction);
     void serveHeld(Group& group, std::size_t most);
     bool hopeless(const Transaction& transaction);
-    void endOverdue(Store& store);
     void finish(Transaction& transaction);
     void forget(Transaction& transaction);
     void probe(Store& store);
