--- a/adapter/charter.cpp
+++ b/adapter/charter.cpp
@@ -102,6 +102,7 @@
         lane.gain = double(from["worth"]);
         lane.lateShare = number(from, "late-value");
         lane.goalTime = nanosOf(double(from["aim-ms"]));
+        lane.cutOff = nanosOf(number(from, "hard-limit-ms"));
         lane.window = nanosOf(number(from, "window-ms"));
         if (bounds) lane.bound = nanosOf(double(simdjson::dom::array(*bounds).at(at)));
         charter.lanes.push_back(std::move(lane));
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -23,6 +23,7 @@
     : out_(outlet), chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483647)), now_(now) {
     lanes_ = charter.lanes;
     laneTime_.resize(lanes_.size());
+    usualPatience_.resize(lanes_.size());
     front_ = charter.front;
     fronts_ = std::max(1, charter.fronts);
     zone_ = charter.zone;
@@ -472,6 +473,30 @@
 
 // ---- launch and outcome ---------------------------------------------------------------------------
 
+// Clients that ask again are not marked, but a try is given what is left of the lane's cut-off, and first
+// tries are all given alike. So a try with another patience is a repeat, and its goal time started with the
+// first try. It guards against repeats of what is late already crowding out what is not; it should also
+// catch clients that arrive late by way of a dead front. It may hurt where clients' patience simply varies:
+// then no value finds support, and nobody has waited.
+Nanos Front::alreadyWaited(int lane, Nanos patience) {
+    UsualPatience& usual = usualPatience_[lane];
+    // First tries differ by the way to the front alone: 2% of the cut-off covers it.
+    if (std::abs(patience - usual.value) <= lanes_[lane].cutOff / 50) {
+        usual.support = std::min(usual.support + 1, 100.0);
+        return 0;
+    }
+    // A value that a fifth of the tries share keeps its place; another takes over in a few tries.
+    usual.support -= 0.25;
+    if (usual.support < 0) usual = {patience, 1};
+    return usual.support < 5 ? 0 : std::max<Nanos>(0, lanes_[lane].cutOff - patience);
+}
+
+// What a transaction would still earn.
+double Front::gainNow(const Transaction& t) {
+    const Lane& lane = lanes_[t.lane];
+    return lane.gain * (now_ > t.goal ? lane.lateShare : 1);
+}
+
 void Front::take(const std::string& id, int lane, const std::string& user, Nanos patience, int groupNo,
                  std::optional<Nanos> sinceWrite) {
     auto& slot = transactions_[id];
@@ -482,7 +507,7 @@
     t.lane = lane;
     t.group = &groups_[groupNo];
     t.arrived = now_;
-    t.goal = now_ + lanes_[lane].goalTime;
+    t.goal = now_ + lanes_[lane].goalTime - alreadyWaited(lane, patience);
     t.cutOff = now_ + patience;
     if (sinceWrite) t.mustSee = now_ - *sinceWrite;
     if (lanes_[lane].need == Need::session && marksKept_) {
@@ -601,7 +626,7 @@
     t.next = [this, &t](Ending) { route(t); };
     t.held = true;
     auto before = [&](const Transaction* a, const Transaction* b) {
-        const double x = lanes_[a->lane].gain, y = lanes_[b->lane].gain;
+        const double x = gainNow(*a), y = gainNow(*b);
         return x != y ? x > y : a->arrived < b->arrived;
     };
     auto& held = t.group->held;
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -35,6 +35,7 @@
     double gain = 1;
     double lateShare = 0;  // of the gain, once the goal time has passed
     Nanos goalTime = 0;
+    Nanos cutOff = 0;  // how long a client waits in all, over all its tries
     Nanos window = 0;  // how long repeats of a stamped transaction are dropped
     Nanos bound = 0;   // oldest data a bounded read may see
     bool premium = false;
@@ -96,6 +97,12 @@
 
 struct Transaction;
 
+// What first tries of a lane are given, learnt from what most tries are given.
+struct UsualPatience {
+    Nanos value = 0;
+    double support = 0;
+};
+
 // One launch that is out at a store.
 struct Launch {
     std::string transaction;
@@ -214,6 +221,8 @@
     Store* pickForLong(Group& group, const Transaction& transaction);
     Store* pick(Group& group, const Transaction& transaction);
     // launch and outcome
+    Nanos alreadyWaited(int lane, Nanos patience);
+    double gainNow(const Transaction& transaction);
     void route(Transaction& transaction);
     void launch(Transaction& transaction, Store& store);
     void settleAccount(Store& store, const Launch& launch, Ending how, Nanos delay);
@@ -235,6 +244,7 @@
     Nanos now_ = 0;
     std::vector<Lane> lanes_;
     std::vector<RecentMean> laneTime_;
+    std::vector<UsualPatience> usualPatience_;
     int front_, fronts_, zone_, launchLimit_;
     bool mayProbe_, mayCancel_, mustAsk_, storesCheck_, marksKept_, probeTellsRole_, onlyDrainingBinds_;
     Nanos advice_, askEvery_, tick_, coldTime_, probeAge_;
