--- /dev/null
+++ b/tests/health.cpp
@@ -0,0 +1,3 @@
+#include "bench.hpp"
+
+int main() {}
--- /dev/null
+++ b/tests/pools.cpp
@@ -0,0 +1,88 @@
+#include "bench.hpp"
+
+using namespace granitereel;
+
+// Step 1: two fifths each, the rest Mixed, rotated by the front's number; the primary stays out.
+void dealsTwoFifths() {
+    Charter c = charter();
+    c.front = 1;
+    Bench b(c);
+    for (const char* id : {"a", "b", "c", "d", "e"}) b.store(id);
+    b.primary("p");
+    b.deal();
+    const Pool expected[] = {Pool::mixed, Pool::premium, Pool::premium, Pool::freemium, Pool::freemium, Pool::none};
+    for (int i = 0; i < 6; ++i) assert(b.group.members[i]->pool == expected[i]);
+}
+
+// Step 4: the least-loaded of the own pool while it is below the threshold.
+void takesTheLeastLoadedOfItsOwn() {
+    Bench b;
+    Store& busy = b.store("a", Pool::premium);
+    Store& idle = b.store("b", Pool::premium);
+    b.store("c", Pool::mixed);
+    busy.load[0] = 1;
+    assert(b.pickReplica(b.transaction(look)) == &idle);
+}
+
+// Step 5: a full own pool borrows Mixed first; Premium then takes a lighter Freemium above the floor.
+void borrowsMixedThenFreemium() {
+    Bench b;
+    b.store("a", Pool::premium).load[0] = 100;
+    Store& mixed = b.store("b", Pool::mixed);
+    Store& light = b.store("c", Pool::freemium);
+    b.store("d", Pool::freemium).load[1] = 1;
+    const Transaction& t = b.transaction(look);
+    assert(b.pickReplica(t) == &mixed && mixed.pool == Pool::premium && mixed.lender == Pool::mixed);
+    mixed.load[0] = 100;
+    assert(b.pickReplica(t) == &light && light.lender == Pool::freemium);
+}
+
+void keepsTheFreemiumFloor() {
+    Bench b;
+    Store& own = b.store("a", Pool::premium);
+    own.load[0] = 50;
+    b.store("c", Pool::freemium);
+    assert(b.pickReplica(b.transaction(look)) == &own);
+}
+
+// Step 5: Freemium takes a Premium replica only if it is empty and Premium's target holds.
+void freemiumBorrowsAboveTheTarget() {
+    Bench b;
+    Store& own = b.store("a", Pool::freemium);
+    own.load[1] = 50;
+    Store& empty = b.store("b", Pool::premium);
+    b.store("c", Pool::premium).load[0] = 1;
+    const Transaction& t = b.transaction(recent);
+    b.group.target[0] = 2;
+    assert(b.pickReplica(t) == &own);
+    b.group.target[0] = 1;
+    assert(b.pickReplica(t) == &empty && empty.lender == Pool::premium);
+}
+
+// Step 6: an eased pool gives back what it borrowed and no longer uses, to a lender below its target.
+void givesBackAtTheWatermark() {
+    Bench b;
+    Store& own = b.store("a", Pool::premium);
+    Store& lent = b.store("b", Pool::premium);
+    lent.lender = Pool::freemium;
+    b.group.target[1] = 1;
+    own.load[0] = 100;
+    b.giveBack(0);
+    assert(lent.pool == Pool::premium);
+    own.load[0] = 0;
+    lent.load[0] = 1;
+    b.giveBack(0);
+    assert(lent.pool == Pool::premium);
+    lent.load[0] = 0;
+    b.giveBack(0);
+    assert(lent.pool == Pool::freemium && lent.lender == Pool::none);
+}
+
+int main() {
+    dealsTwoFifths();
+    takesTheLeastLoadedOfItsOwn();
+    borrowsMixedThenFreemium();
+    keepsTheFreemiumFloor();
+    freemiumBorrowsAboveTheTarget();
+    givesBackAtTheWatermark();
+}
