--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -247,7 +247,8 @@
         case Need::any:
             return true;
         case Need::bounded:
-            return store.position >= now_ - lane.bound;
+            // A millisecond is kept against rounding on the way.
+            return store.position >= now_ - lane.bound + millis(1);
         case Need::session:
             return store.position >= transaction.mustSee;
         default:
