--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -342,6 +342,7 @@
 
 bool Front::wellEnough(const Store& store) const {
     if (store.awaySince && mayProbe_) return false;  // the probes of round() find out
+    if (now_ < store.restsUntil) return false;
     return (!store.suspectSince && !store.awaySince) || now_ >= store.nextTrial;
 }
 
@@ -521,7 +522,7 @@
 
 void Front::route(Transaction& t) {
     if (hopeless(t) || t.launches >= launchLimit_) return finish(t);
-    if (Store* store = now_ < t.notBefore ? nullptr : pick(*t.group, t)) return launch(t, *store);
+    if (Store* store = pick(*t.group, t)) return launch(t, *store);
     hold(t);
 }
 
@@ -546,8 +547,6 @@
         const bool neverRan = how == Ending::full || how == Ending::unreachable || how == Ending::unsent ||
                               how == Ending::missed;
         if (!neverRan && !t.mayHaveRunSince) t.mayHaveRunSince = sent, t.boundZone = zone;
-        // A primary that is full is left alone for a moment; other members would only miss.
-        if (how == Ending::full) t.notBefore = now_ + millis(30);
         if (!neverRan && lanes_[t.lane].effect == Effect::oneShot) return finish(t);
         route(t);
     };
@@ -609,6 +608,14 @@
         store.window = std::max(2.0, share * std::min(store.window, double(store.out.size()) + 1));
     };
     if (how == Ending::full) shrink(0.7);
+    // A store that turns work away at once looks idle, and would draw ever more. It rests for 20 ms, twice
+    // as long after each further refusal, 640 ms at most, until it delivers. It guards against stores that
+    // are full or out of slots, and should catch any that fail fast; a full group waits that much longer.
+    if (how == Ending::full || how == Ending::error) {
+        store.refusals = std::min(store.refusals + 1, 6);
+        store.restsUntil = now_ + millis(10 << store.refusals);
+    }
+    if (how == Ending::delivered) store.refusals = 0;
     // A client that would not wait longer is as sure a sign of too long a queue as a late answer.
     if (how == Ending::timedOut) shrink(0.85);
     if (how != Ending::delivered) return;
@@ -733,7 +740,7 @@
     if (warm > 0) bearing_ = borne / warm;
     for (auto& [no, group] : groups_) {
         if (group.redeal) deal(group);
-        if (!group.primary || !wellEnough(*group.primary)) seekPrimary(group);
+        if (!group.primary || group.primary->suspectSince || group.primary->awaySince) seekPrimary(group);
         serveHeld(group, group.held.size());
     }
 }
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -134,6 +134,8 @@
     double window = 0;  // launches this front keeps out here at most
     Nanos shrunk = 0;
     Nanos suspectSince = 0, awaySince = 0, nextTrial = 0, trialPause = 0, lastLaunch = 0;
+    int refusals = 0;  // in a row
+    Nanos restsUntil = 0;
     double coldCredit = 0;
     Nanos coldCreditAt = 0;
 };
@@ -152,7 +154,7 @@
     std::string id, user;
     int lane = 0;
     Group* group = nullptr;
-    Nanos arrived = 0, goal = 0, cutOff = 0, mustSee = 0, notBefore = 0;
+    Nanos arrived = 0, goal = 0, cutOff = 0, mustSee = 0;
     int launches = 0, out = 0;
     Nanos mayHaveRunSince = 0;  // send of the first launch that may have run; 0: none may have
     int boundZone = -1;
