Try only replicas that may catch up within their wait

Cause: with all replicas behind, each bounded read missed on one after another, 100 ms each, while primaries had room.

--- a/adapter/charter.cpp
+++ b/adapter/charter.cpp
@@ -70,6 +70,7 @@
     charter.onlyDrainingBinds = mark(guarantees, "drain-binds-alone");
 
     charter.storesCheck = word(domain, "guards") != "off";
+    charter.catchUpWait = nanosOf(number(domain, "catch-up-wait-ms"));
     charter.marksKept = word(domain, "session-marks") == "kept";
     if (word(report, "how") != "off" && present(report, "fields"))
         for (element field : simdjson::dom::array(report["fields"])) {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -32,6 +32,7 @@
     mayCancel_ = charter.mayCancel;
     mustAsk_ = charter.mustAsk;
     storesCheck_ = charter.storesCheck;
+    catchUpWait_ = charter.catchUpWait;
     marksKept_ = charter.marksKept;
     probeTellsRole_ = charter.mayProbe && charter.reportsTellRole;
     onlyDrainingBinds_ = charter.onlyDrainingBinds;
@@ -256,6 +257,14 @@
     }
 }
 
+// Whether a replica that applies the log as fast as it comes would meet the need by the end of its wait.
+bool Front::mayCatchUp(const Store& store, const Transaction& transaction) const {
+    const Lane& lane = lanes_[transaction.lane];
+    const Nanos lag = store.positionTold - store.position;
+    const Nanos need = lane.need == Need::bounded ? now_ - lane.bound : transaction.mustSee;
+    return store.position >= 0 && now_ + catchUpWait_ - lag >= need;
+}
+
 bool Front::mayReadPrimary(const Store& store) const {
     return store.standing == Standing::up && !store.toldReplica;
 }
@@ -460,11 +469,12 @@
         if (Store* replica = pickReplica(group, transaction)) return replica;
     Store* primary = group.primary;
     if (storesCheck_ && need != Need::fresh) {
-        // Stores that check for themselves: the least-behind replica may have caught up by now.
+        // Stores that check for themselves: the least-behind replica, if it may catch up while it waits. One
+        // that lags too far for that would only hold the transaction up.
         Store* best = nullptr;
         for (Store* s : group.members)
             if (s->standing == Standing::up && s != primary && wellEnough(*s) && hasRoom(*s, transaction) &&
-                s->position >= transaction.mustSee && (!best || s->position > best->position))
+                mayCatchUp(*s, transaction) && (!best || s->position > best->position))
                 best = s;
         if (best && transaction.launches + 1 < launchLimit_) return best;
     }
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -49,6 +49,7 @@
     bool mayProbe = false, mayCancel = false, adviceHeard = false;
     bool mustAsk = false, storesCheck = false, marksKept = false;
     bool reportsTellRole = false, reportsTellPosition = false, onlyDrainingBinds = false;
+    Nanos catchUpWait = 0;  // how long a store that checks waits to catch up
     Nanos longestAdvice = 0, askWithin = 0, tick = 0, coldTime = 0;
     double coldFrom = 1, fallMultiple = 1;
 };
@@ -203,6 +204,7 @@
     // freshness
     void tellPosition(Store& store, Nanos position);
     bool freshEnough(const Store& store, const Transaction& transaction) const;
+    bool mayCatchUp(const Store& store, const Transaction& transaction) const;
     bool mayReadPrimary(const Store& store) const;
     void keepFresh(Store& store, const Transaction& transaction);
     // health
@@ -249,7 +251,7 @@
     std::vector<UsualPatience> usualPatience_;
     int front_, fronts_, zone_, launchLimit_;
     bool mayProbe_, mayCancel_, mustAsk_, storesCheck_, marksKept_, probeTellsRole_, onlyDrainingBinds_;
-    Nanos advice_, askEvery_, tick_, coldTime_, probeAge_;
+    Nanos advice_, askEvery_, tick_, coldTime_, probeAge_, catchUpWait_;
     double coldFrom_, coldFactor_;
 
     std::map<std::string, std::unique_ptr<Store>> stores_;
