--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -572,7 +572,7 @@
     if (launch == store->out.end()) return;
     const Launch done = *launch;
     if (how == Ending::delivered || how == Ending::error || how == Ending::full || how == Ending::missed)
-        hear(*store, true);
+        hear(*store, how != Ending::full);
     store->out.erase(launch);
     --store->load[tierOf(lanes_[done.lane])];
     if (role != Role::unknown) tellRole(*store, role, now_, true);
@@ -618,14 +618,16 @@
         store.window = std::max(2.0, share * std::min(store.window, double(store.out.size()) + 1));
     };
     if (how == Ending::full) shrink(0.7);
-    // A store that turns work away at once looks idle, and would draw ever more. It rests for 20 ms, twice
-    // as long after each further refusal, 640 ms at most, until it delivers. It guards against stores that
-    // are full or out of slots, and should catch any that fail fast; a full group waits that much longer.
-    if (how == Ending::full || how == Ending::error) {
-        store.refusals = std::min(store.refusals + 1, 6);
-        store.restsUntil = now_ + millis(10 << store.refusals);
+    // A store that turns work away at once looks idle, and would draw ever more; one that lets work lapse
+    // draws the next as soon as its slots are free. Either rests for 20 ms, twice as long after each further
+    // fruitless launch, 640 ms at most, until it delivers. It guards against stores that are full, out of
+    // slots or all but dead, and should catch any that fail fast; a full group waits that much longer.
+    const bool lapsed = how == Ending::timedOut && double(delay) > workOf(launch.lane);
+    if (how == Ending::full || how == Ending::error || lapsed) {
+        store.fruitless = std::min(store.fruitless + 1, 6);
+        store.restsUntil = now_ + millis(10 << store.fruitless);
     }
-    if (how == Ending::delivered) store.refusals = 0;
+    if (how == Ending::delivered) store.fruitless = 0;
     // A client that would not wait longer is as sure a sign of too long a queue as a late answer.
     if (how == Ending::timedOut) shrink(0.85);
     if (how != Ending::delivered) return;
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -135,7 +135,7 @@
     double window = 0;  // launches this front keeps out here at most
     Nanos shrunk = 0;
     Nanos suspectSince = 0, awaySince = 0, nextTrial = 0, trialPause = 0, lastLaunch = 0;
-    int refusals = 0;  // in a row
+    int fruitless = 0;  // launches in a row
     Nanos restsUntil = 0;
     double coldCredit = 0;
     Nanos coldCreditAt = 0;
