--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -503,10 +503,10 @@
     return usual.support < 5 ? 0 : std::max<Nanos>(0, lanes_[lane].cutOff - patience);
 }
 
-// What a transaction would still earn.
+// What a transaction would still earn for the room it takes.
 double Front::gainNow(const Transaction& t) {
     const Lane& lane = lanes_[t.lane];
-    return lane.gain * (now_ > t.goal ? lane.lateShare : 1);
+    return lane.gain * (now_ > t.goal ? lane.lateShare : 1) / workOf(t.lane);
 }
 
 void Front::take(const std::string& id, int lane, const std::string& user, Nanos patience, int groupNo,
