--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -636,7 +636,7 @@
     store.borne.add(now_, healthMemory, workOf(launch.lane));
     // The window grows by one for each full window of answers in good time, and shrinks when an answer
     // comes near its goal time: waiting then is better done here, where the highest gain goes first.
-    if (double(delay) > 0.8 * double(lane.goalTime))
+    if (double(delay) > 0.6 * double(lane.goalTime))
         shrink(0.85);
     else if (double(store.out.size()) + 1 >= 0.75 * store.window)
         store.window += 1 / store.window;
