--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -503,10 +503,14 @@
     return usual.support < 5 ? 0 : std::max<Nanos>(0, lanes_[lane].cutOff - patience);
 }
 
-// What a transaction would still earn for the room it takes.
+// What a transaction launched now may be expected to earn for the room it takes. Answers come about
+// exponentially; so one with little time left gives way to one that has just come.
 double Front::gainNow(const Transaction& t) {
     const Lane& lane = lanes_[t.lane];
-    return lane.gain * (now_ > t.goal ? lane.lateShare : 1) / workOf(t.lane);
+    const double work = workOf(t.lane);
+    auto inTime = [&](Nanos limit) { return limit <= now_ ? 0 : 1 - std::exp(-double(limit - now_) / work); };
+    const double early = inTime(std::min(t.goal, t.cutOff)), late = inTime(t.cutOff) - early;
+    return lane.gain * (early + lane.lateShare * late) / work;
 }
 
 void Front::take(const std::string& id, int lane, const std::string& user, Nanos patience, int groupNo,
