--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -674,7 +674,7 @@
 bool Front::hopeless(const Transaction& t) {
     const Lane& lane = lanes_[t.lane];
     // Half the usual time: some are quicker. Two ticks for the way back.
-    const Nanos soonest = now_ + static_cast<Nanos>(0.5 * workOf(t.lane)) + 2 * tick_;
+    const Nanos soonest = now_ + static_cast<Nanos>(1.0 * workOf(t.lane)) + 2 * tick_;
     if (soonest > t.cutOff || (lane.lateShare <= 0 && soonest > t.goal)) return true;
     return lane.effect == Effect::stamped && t.mayHaveRunSince && now_ >= t.mayHaveRunSince + lane.window;
 }
