--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace granitereel {
 
@@ -395,13 +396,14 @@
         return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
                freshEnough(*s, transaction) && hasRoom(*s, transaction);
     };
-    // The least by (load, other zone, id), of the members that a condition admits.
+    // The least by (load, freshness, other zone, id), of the members that a condition admits.
     auto least = [&](auto admits, auto load) {
         Store* best = nullptr;
-        std::pair<int, bool> bestKey;
+        std::tuple<int, Nanos, bool> bestKey;
         for (Store* s : group.members) {
             if (!admits(s) || !usable(s)) continue;
-            const std::pair<int, bool> key{load(s), s->zone != zone_};
+            const std::tuple<int, Nanos, bool> key{load(s), -std::max(s->positionTold - s->position, probeAge_),
+                                                   s->zone != zone_};
             if (!best || key < bestKey) best = s, bestKey = key;
         }
         return best;
