--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -396,14 +396,14 @@
         return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
                freshEnough(*s, transaction) && hasRoom(*s, transaction);
     };
-    // The least by (load, freshness, other zone, id), of the members that a condition admits.
+    // The least by load, then of the own zone, then longest left alone: where many fronts share a group,
+    // most loads are equal, and a fixed order would have them all crowd the same store.
     auto least = [&](auto admits, auto load) {
         Store* best = nullptr;
-        std::tuple<int, Nanos, bool> bestKey;
+        std::tuple<int, bool, Nanos> bestKey;
         for (Store* s : group.members) {
             if (!admits(s) || !usable(s)) continue;
-            const std::tuple<int, Nanos, bool> key{load(s), -std::max(s->positionTold - s->position, probeAge_),
-                                                   s->zone != zone_};
+            const std::tuple<int, bool, Nanos> key{load(s), false, s->lastLaunch};
             if (!best || key < bestKey) best = s, bestKey = key;
         }
         return best;
