--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <tuple>
 
 namespace granitereel {
 
@@ -396,14 +395,13 @@
         return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
                freshEnough(*s, transaction) && hasRoom(*s, transaction);
     };
-    // The least by load, then of the own zone, then longest left alone: where many fronts share a group,
-    // most loads are equal, and a fixed order would have them all crowd the same store.
+    // The least by (load, other zone, id), of the members that a condition admits.
     auto least = [&](auto admits, auto load) {
         Store* best = nullptr;
-        std::tuple<int, bool, Nanos> bestKey;
+        std::pair<int, bool> bestKey;
         for (Store* s : group.members) {
             if (!admits(s) || !usable(s)) continue;
-            const std::tuple<int, bool, Nanos> key{load(s), false, s->lastLaunch};
+            const std::pair<int, bool> key{load(s), s->zone != zone_};
             if (!best || key < bestKey) best = s, bestKey = key;
         }
         return best;
