--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -92,9 +92,9 @@
         slot->group = groupNo;
         slot->zone = zone;
         slot->started = started;
-        // Launches that a front keeps out at a store before it has seen it work: twice what two tiers
-        // at the starting threshold would put there.
-        slot->window = 8;
+        // What all fronts together keep out at a store before they have seen it work: about what a store of
+        // a few cores answers well within most goal times.
+        slot->window = 24.0 / fronts_;
         group.members.push_back(slot.get());
         std::sort(group.members.begin(), group.members.end(), [](auto* a, auto* b) { return a->id < b->id; });
         group.redeal = true;
@@ -381,7 +381,11 @@
     // Reads that spill over to the primary leave it half of its window for writes and fresh reads.
     const Need need = lanes_[transaction.lane].need;
     const bool spilt = groups_[store.group].primary == &store && need != Need::write && need != Need::fresh;
-    if (double(store.out.size()) >= store.window * (spilt ? 0.5 : 1.0)) return false;
+    const double window = store.window * (spilt ? 0.5 : 1.0);
+    // A window below one is kept by pauses between single launches.
+    if (window < 1 && !store.out.empty()) return false;
+    if (window < 1 && double(now_ - store.lastLaunch) * window < workOf(transaction.lane)) return false;
+    if (window >= 1 && double(store.out.size()) >= window) return false;
     return coldRoom(store, workOf(transaction.lane));
 }
 
@@ -619,7 +623,7 @@
         // Once per fifth of a second: answers that were sent together are one sign.
         if (now_ - store.shrunk < millis(200)) return;
         store.shrunk = now_;
-        store.window = std::max(2.0, share * std::min(store.window, double(store.out.size()) + 1));
+        store.window = std::max(0.25, share * std::min(store.window, double(store.out.size()) + 1));
     };
     if (how == Ending::full) shrink(0.7);
     // A store that turns work away at once looks idle, and would draw ever more; one that lets work lapse
@@ -638,12 +642,13 @@
     store.stretch.add(now_, healthMemory, double(delay) / workOf(launch.lane));
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
     store.borne.add(now_, healthMemory, workOf(launch.lane));
-    // The window grows by one for each full window of answers in good time, and shrinks when an answer
-    // comes near its goal time: waiting then is better done here, where the highest gain goes first.
+    // The window grows by this front's share of three for each full window of answers in good time, and
+    // shrinks when an answer comes near its goal time: waiting then is better done here, where the highest
+    // gain goes first. Shares keep many fronts from outgrowing a store together.
     if (double(delay) > 0.6 * double(lane.goalTime))
         shrink(0.85);
     else if (double(store.out.size()) + 1 >= 0.75 * store.window)
-        store.window += 1 / store.window;
+        store.window += 3.0 / fronts_ / std::max(1.0, store.window);
 }
 
 void Front::hold(Transaction& t) {
