--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -645,11 +645,11 @@
     // The window grows with answers in good time, and shrinks when one comes near its goal time: waiting
     // then is better done here, where the highest gain goes first. Growth and shrinking meet where the
     // window is in proportion to the root of the step, so a step by the square of this front's share lets all
-    // fronts together keep out the same, however many they are. Three launches a window for all of them.
+    // fronts together keep out the same, however many they are. Two launches a window for all of them.
     if (double(delay) > 0.6 * double(lane.goalTime))
         shrink(0.85);
     else if (double(store.out.size()) + 1 >= 0.75 * store.window)
-        store.window += 9.0 / (fronts_ * fronts_) / std::max(3.0 / fronts_, store.window);
+        store.window += 4.0 / (fronts_ * fronts_) / std::max(3.0 / fronts_, store.window);
 }
 
 void Front::hold(Transaction& t) {
