--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -412,8 +412,13 @@
     };
     auto own = [&](Store* s) { return s->pool == poolOf(tier); };
     auto ownLoad = [&](Store* s) { return poolLoad(*s, tier); };
+    // The replica that would be used if it were fresh enough is the one to be asked how fresh it is.
+    Store* wanted = nullptr;
     for (Store* s : group.members)
-        if (own(s) || s->pool == Pool::mixed) keepFresh(*s, transaction);
+        if ((own(s) || s->pool == Pool::mixed) && s->standing == Standing::up && wellEnough(*s) &&
+            (!wanted || ownLoad(s) < ownLoad(wanted)))
+            wanted = s;
+    if (wanted) keepFresh(*wanted, transaction);
 
     Store* ownLeast = least(own, ownLoad);
     if (ownLeast && ownLoad(ownLeast) < theta) return ownLeast;
