--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -269,11 +269,13 @@
     return store.standing == Standing::up && !store.toldReplica;
 }
 
-void Front::keepFresh(Store& store, const Transaction& transaction) {
-    if (lanes_[transaction.lane].need == Need::any) return;
-    if (now_ - store.position <= probeAge_) return;
-    if (now_ - std::max(store.positionTold, store.probedAt) <= probeAge_) return;
-    probe(store);
+// A replica is asked when its known position is older than half the bound and no answer has renewed it. One
+// that lags is not asked again before it can have caught up by some part: a quarter of its lag, two seconds
+// at most, keeps probes few where the log is slow everywhere.
+bool Front::probeIsDue(const Store& store) const {
+    if (now_ - store.position <= probeAge_) return false;
+    const Nanos lag = std::min((store.positionTold - store.position) / 4, millis(2000));
+    return now_ - std::max(store.positionTold, store.probedAt) > std::max(probeAge_, lag);
 }
 
 // ---- health ---------------------------------------------------------------------------------------
@@ -412,13 +414,13 @@
     };
     auto own = [&](Store* s) { return s->pool == poolOf(tier); };
     auto ownLoad = [&](Store* s) { return poolLoad(*s, tier); };
-    // The replica that would be used if it were fresh enough is the one to be asked how fresh it is.
+    // The replica that would be used if it were known to be fresh enough is asked how fresh it is.
     Store* wanted = nullptr;
     for (Store* s : group.members)
         if ((own(s) || s->pool == Pool::mixed) && s->standing == Standing::up && wellEnough(*s) &&
-            (!wanted || ownLoad(s) < ownLoad(wanted)))
+            probeIsDue(*s) && (!wanted || ownLoad(s) < ownLoad(wanted)))
             wanted = s;
-    if (wanted) keepFresh(*wanted, transaction);
+    if (wanted && lanes_[transaction.lane].need != Need::any) probe(*wanted);
 
     Store* ownLeast = least(own, ownLoad);
     if (ownLeast && ownLoad(ownLeast) < theta) return ownLeast;
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -206,7 +206,7 @@
     bool freshEnough(const Store& store, const Transaction& transaction) const;
     bool mayCatchUp(const Store& store, const Transaction& transaction) const;
     bool mayReadPrimary(const Store& store) const;
-    void keepFresh(Store& store, const Transaction& transaction);
+    bool probeIsDue(const Store& store) const;
     // health
     void hear(Store& store, bool byWork);
     void distrust(Store& store, bool away);
