--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -135,8 +135,8 @@
 // later one holds.
 void Front::tellRole(Store& store, Role role, Nanos asOf, bool byAnswer) {
     store.roleHeard = now_;
-    if (byAnswer) store.toldReplica = role == Role::replica;
     if (asOf < store.roleAsOf) return;
+    if (byAnswer) store.toldReplica = role == Role::replica;
     store.role = role;
     store.roleAsOf = asOf;
     Group& group = groups_[store.group];
@@ -590,7 +590,9 @@
         hear(*store, how != Ending::full);
     store->out.erase(launch);
     --store->load[tierOf(lanes_[done.lane])];
-    if (role != Role::unknown) tellRole(*store, role, now_, true);
+    // A launch that began at a primary says so even if the role was lost while it ran: it speaks for the
+    // time of its sending. Else a primary that hands over seems to lose and win the role with each answer.
+    if (role != Role::unknown) tellRole(*store, role, role == Role::primary ? done.sent : now_, true);
     // A commit is told rounded up to the next millisecond, a position rounded down.
     if (position) tellPosition(*store, *position - (lanes_[done.lane].need == Need::write ? millis(1) : 0));
     settleAccount(*store, done, how, delay);
