--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -136,6 +136,9 @@
 void Front::tellRole(Store& store, Role role, Nanos asOf, bool byAnswer) {
     store.roleHeard = now_;
     if (asOf < store.roleAsOf) return;
+    // A primary that hands over turns writes away but still calls itself one to reads; and no store that
+    // lost the role has it back within a second.
+    if (role == Role::primary && store.toldReplica && asOf < store.roleAsOf + millis(1000)) return;
     if (byAnswer) store.toldReplica = role == Role::replica;
     store.role = role;
     store.roleAsOf = asOf;
@@ -627,7 +630,9 @@
 // What a launch's ending says of its store.
 void Front::settleAccount(Store& store, const Launch& launch, Ending how, Nanos delay) {
     const Lane& lane = lanes_[launch.lane];
-    if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
+    // A broken connection may be the store's end or only the connection's: a probe tells. It rests meanwhile.
+    if (how == Ending::broken) probe(store);
+    if (how == Ending::unreachable || (how == Ending::broken && !mayProbe_)) distrust(store, true);
     auto shrink = [&](double share) {
         // Once per fifth of a second: answers that were sent together are one sign.
         if (now_ - store.shrunk < millis(200)) return;
@@ -640,7 +645,7 @@
     // fruitless launch, 640 ms at most, until it delivers. It guards against stores that are full, out of
     // slots or all but dead, and should catch any that fail fast; a full group waits that much longer.
     const bool lapsed = how == Ending::timedOut && double(delay) > workOf(launch.lane);
-    if (how == Ending::full || how == Ending::error || lapsed) {
+    if (how == Ending::full || how == Ending::error || how == Ending::broken || lapsed) {
         store.fruitless = std::min(store.fruitless + 1, 6);
         store.restsUntil = now_ + millis(10 << store.fruitless);
     }
