--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -326,7 +326,8 @@
     store.trialPause = millis(250);
     store.nextTrial = now_ + store.trialPause;
     out_.log("store " + store.id + (away ? " is out of reach" : " is silent"));
-    recall(store);
+    // Of a store out of reach, nothing is called back: its launches break by themselves, or go on.
+    if (!away) recall(store);
 }
 
 // Calls back what can safely run elsewhere.
@@ -630,9 +631,9 @@
 // What a launch's ending says of its store.
 void Front::settleAccount(Store& store, const Launch& launch, Ending how, Nanos delay) {
     const Lane& lane = lanes_[launch.lane];
-    // A broken connection may be the store's end or only the connection's: a probe tells. It rests meanwhile.
+    if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
+    // A broken connection may be the store's end or only the connection's: a probe tells soon.
     if (how == Ending::broken) probe(store);
-    if (how == Ending::unreachable || (how == Ending::broken && !mayProbe_)) distrust(store, true);
     auto shrink = [&](double share) {
         // Once per fifth of a second: answers that were sent together are one sign.
         if (now_ - store.shrunk < millis(200)) return;
