--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -138,12 +138,15 @@
     if (asOf < store.roleAsOf) return;
     // A primary that hands over turns writes away but still calls itself one to reads; and no store that
     // lost the role has it back within a second.
-    if (role == Role::primary && store.toldReplica && asOf < store.roleAsOf + millis(1000)) return;
+    if (role == Role::primary && store.lostRole && asOf < store.lostRole + millis(1000)) return;
     if (byAnswer) store.toldReplica = role == Role::replica;
     store.role = role;
     store.roleAsOf = asOf;
     Group& group = groups_[store.group];
-    if (role == Role::replica && group.primary == &store) setPrimary(group, nullptr);
+    if (role == Role::replica && group.primary == &store) {
+        store.lostRole = now_;
+        setPrimary(group, nullptr);
+    }
     if (role == Role::primary && group.primary != &store && store.standing == Standing::up &&
         (!group.primary || group.primary->roleAsOf < asOf))
         setPrimary(group, &store);
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -119,7 +119,7 @@
     Nanos started = 0;    // when it was last seen to start; 0: long ago
     bool listedAsPrimary = false;
     Role role = Role::unknown;
-    Nanos roleAsOf = 0, roleHeard = 0;
+    Nanos roleAsOf = 0, roleHeard = 0, lostRole = 0;
     bool toldReplica = false;  // an answer has said so, and none since that it is the primary
     Nanos position = -1;  // commits up to this time are applied; -1: never told
     Nanos positionTold = 0, probedAt = 0;
