--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -106,7 +106,8 @@
         store.stretch = {};
     }
     if (standing != store.standing) standDown(store, standing);
-    if (primary && !store.listedAsPrimary && !group.primary && !store.toldReplica) setPrimary(group, &store);
+    const bool newlyNamed = primary && !store.listedAsPrimary && standing == Standing::up;
+    if (newlyNamed && !group.primary && !store.toldReplica) setPrimary(group, &store);
     store.listedAsPrimary = primary;
 }
 
--- a/tests/bench.hpp
+++ b/tests/bench.hpp
@@ -116,6 +116,19 @@
     bool freshEnough(const Store& s, const Transaction& t) { return front.freshEnough(s, t); }
     bool mayLaunch(const Transaction& t, const Store& s) { return front.mayLaunch(t, s); }
     bool mayNack(const Transaction& t) { return front.mayNack(t); }
+    bool probeIsDue(const Store& s) { return front.probeIsDue(s); }
+    void tellRole(Store& s, Role role, Nanos asOf, bool byAnswer) { front.tellRole(s, role, asOf, byAnswer); }
+    void judgeSilence(Store& s) { front.judgeSilence(s); }
+    void distrust(Store& s, bool away) { front.distrust(s, away); }
+    bool wellEnough(const Store& s) { return front.wellEnough(s); }
+    bool hasRoom(Store& s, const Transaction& t) { return front.hasRoom(s, t); }
+    bool coldRoom(Store& s, double work) { return front.coldRoom(s, work); }
+    void setBearing(double work) { front.bearing_ = work; }
+    void settle(Store& s, Ending how, Nanos delay) { front.settleAccount(s, {"x", 0, look, now, false}, how, delay); }
+    void seen(int lane, Nanos delay) { front.laneTime_[lane].add(now, millis(30'000), double(delay)); }
+    Nanos alreadyWaited(int lane, Nanos patience) { return front.alreadyWaited(lane, patience); }
+    double gainNow(const Transaction& t) { return front.gainNow(t); }
+    bool launchedTo(const std::string& t, const std::string& s) { return notes.count("launch " + t + " " + s) > 0; }
     void end(const std::string& t, int no, Store& s, Ending how, Role role = Role::unknown) {
         front.ended(t, no, s.id, how, millis(20), role, {}, how == Ending::delivered);
     }
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -1,3 +1,122 @@
 #include "bench.hpp"
 
-int main() {}
+using namespace granitereel;
+
+// Step 3: a bounded read wants a position within its bound; time alone never advances one.
+void boundedReadWantsTheBound() {
+    Bench b;
+    Store& s = b.store("s");
+    const Transaction& t = b.transaction(look);
+    b.pass(299);
+    assert(b.freshEnough(s, t));
+    b.pass(1);
+    assert(!b.freshEnough(s, t));
+}
+
+void sessionReadWantsItsToken() {
+    Bench b;
+    Store& s = b.store("s");
+    Transaction& t = b.transaction(recent);
+    t.mustSee = s.position;
+    assert(b.freshEnough(s, t));
+    t.mustSee = s.position + 1;
+    assert(!b.freshEnough(s, t));
+}
+
+// An older position told late takes nothing back.
+void positionsOnlyGrow() {
+    Bench b;
+    Store& s = b.store("s");
+    const Nanos before = s.position;
+    b.front.reported("s", before - millis(50), {});
+    assert(s.position == before);
+    b.front.reported("s", before + millis(50), {});
+    assert(s.position == before + millis(50));
+}
+
+// Step 3: no replica is fresh enough, so the primary is read, unless an answer has called it a replica.
+void spillsToThePrimary() {
+    Bench b;
+    Store& p = b.primary("p");
+    b.store("s", Pool::premium).position = 0;
+    const Transaction& t = b.transaction(look);
+    assert(b.pick(t) == &p);
+    p.toldReplica = true;
+    assert(b.pick(t) == nullptr);
+}
+
+// Where stores check: the least-behind replica that may catch up, and none that surely misses (i717714).
+void triesOnlyWhatMayCatchUp() {
+    Charter c = charter();
+    c.storesCheck = true;
+    c.catchUpWait = millis(100);
+    Bench b(c);
+    Store& p = b.primary("p");
+    Store& near = b.store("n", Pool::premium);
+    const Transaction& t = b.transaction(look);
+    near.position = b.now - millis(350);
+    assert(b.pick(t) == &near);
+    near.position = b.now - millis(450);
+    assert(b.pick(t) == &p);
+}
+
+// Probes: when the position is older than half the bound and nothing has renewed it; laggards less often.
+void probesWhenDue() {
+    Bench b;
+    Store& s = b.store("s");
+    b.pass(150);
+    assert(!b.probeIsDue(s));
+    b.pass(1);
+    assert(b.probeIsDue(s));
+    s.probedAt = b.now;
+    assert(!b.probeIsDue(s));
+    s.position = b.now - millis(4000);
+    s.positionTold = b.now;
+    b.pass(999);
+    assert(!b.probeIsDue(s));
+    b.pass(2);
+    assert(b.probeIsDue(s));
+}
+
+// Long reads stop the log where they run: all go to the replica that lags most (i8e8e57).
+void longReadsGoToTheLaggard() {
+    Bench b;
+    b.store("a", Pool::freemium);
+    Store& laggard = b.store("b", Pool::premium);
+    laggard.position -= millis(2000);
+    for (int i = 0; i < 50; ++i) b.seen(report, millis(2000)), b.seen(look, millis(50));
+    assert(b.pick(b.transaction(report)) == &laggard);
+}
+
+// A mark kept for a session binds its next read.
+void keepsTheMarksOfSessions() {
+    Charter c = charter();
+    c.marksKept = true;
+    Bench b(c);
+    Store& p = b.primary("p");
+    Transaction& t = b.transaction(pay);
+    t.user = "u";
+    b.launch(t, p);
+    b.front.ended("t", 0, "p", Ending::delivered, millis(20), Role::primary, b.now + millis(3), true);
+    b.pass(10);
+    b.front.take("r", recent, "u", millis(900), 0, {});
+    assert(b.launchedTo("r", "p"));
+    Store& s = b.store("s", Pool::freemium);
+    s.position = b.now - millis(8);
+    b.front.take("q", recent, "u", millis(900), 0, {});
+    assert(b.launchedTo("q", "p"));
+    s.position = b.now;
+    b.front.take("v", recent, "u", millis(900), 0, {});
+    assert(b.launchedTo("v", "s"));
+}
+
+int main() {
+    boundedReadWantsTheBound();
+    sessionReadWantsItsToken();
+    positionsOnlyGrow();
+    spillsToThePrimary();
+    triesOnlyWhatMayCatchUp();
+    probesWhenDue();
+    longReadsGoToTheLaggard();
+    keepsTheMarksOfSessions();
+}
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -1,3 +1,151 @@
 #include "bench.hpp"
 
-int main() {}
+using namespace granitereel;
+
+// A silence is judged against the gaps seen before; harmless launches are then called back, others not.
+void unusualSilenceIsNoticed() {
+    Bench b;
+    Store& s = b.store("s");
+    for (int i = 0; i < 50; ++i) s.gaps.add(b.now, millis(5000), 10e6);
+    b.launch(b.transaction(look, "l"), s);
+    b.launch(b.transaction(pay, "w"), s);
+    b.pass(150);
+    b.judgeSilence(s);
+    assert(!s.suspectSince);
+    b.pass(60);
+    b.judgeSilence(s);
+    assert(s.suspectSince && b.notes.count("cancel l") == 1 && b.notes.count("cancel w") == 0);
+}
+
+// A silent store gets single trials, and is whole again once it delivers.
+void silentStoreIsTried() {
+    Bench b;
+    Store& s = b.store("s");
+    b.distrust(s, false);
+    assert(!b.wellEnough(s));
+    b.pass(250);
+    assert(b.wellEnough(s));
+    b.launch(b.transaction(look), s);
+    assert(!b.wellEnough(s));
+    b.end("t", 0, s, Ending::delivered);
+    assert(b.wellEnough(s));
+}
+
+// A refusal is no answer: the silence of a store goes on (ie6d8e0).
+void refusalDoesNotEndASilence() {
+    Bench b;
+    Store& s = b.store("s");
+    b.launch(b.transaction(look), s);
+    b.distrust(s, false);
+    b.end("t", 0, s, Ending::full);
+    assert(s.suspectSince);
+}
+
+// Out of reach: probes find out. Away for a second, a store may be cold.
+void awayStoreComesBackByProbe() {
+    Bench b;
+    Store& s = b.store("s");
+    b.distrust(s, true);
+    b.pass(1001);
+    assert(!b.wellEnough(s));
+    b.front.probed("s", Ending::delivered);
+    assert(b.wellEnough(s) && s.started == b.now);
+}
+
+// A reset may be the connection's end only: a probe is sent at once, and nothing is called back (i11437b).
+void resetAsksForAProbe() {
+    Bench b;
+    Store& s = b.store("s");
+    b.launch(b.transaction(look, "a"), s);
+    b.launch(b.transaction(look, "b"), s);
+    b.end("a", 0, s, Ending::broken);
+    assert(b.notes.count("probe s") == 1 && b.notes.count("cancel") == 0 && !b.wellEnough(s));
+}
+
+// A store that fails fast looks idle: it rests, longer each time, until it delivers (i717714).
+void fruitlessStoreRests() {
+    Bench b;
+    Store& s = b.store("s");
+    b.settle(s, Ending::full, millis(1));
+    b.pass(19);
+    assert(!b.wellEnough(s));
+    b.pass(1);
+    assert(b.wellEnough(s));
+    b.settle(s, Ending::full, millis(1));
+    b.pass(39);
+    assert(!b.wellEnough(s));
+    b.settle(s, Ending::delivered, millis(1));
+    assert(s.fruitless == 0);
+}
+
+// A window shrinks when answers come near their goal time or lapse, and grows when full of good ones.
+void windowFollowsTheAnswers() {
+    Bench b;
+    Store& s = b.store("s");
+    s.window = 4;
+    for (int i = 0; i < 4; ++i) s.out.push_back({"x", i, look, b.now, false});
+    b.settle(s, Ending::delivered, millis(50));
+    assert(s.window > 4);
+    s.window = 4;
+    b.settle(s, Ending::delivered, millis(300));
+    assert(s.window < 4);
+    b.pass(200);
+    const double before = s.window;
+    b.settle(s, Ending::timedOut, millis(300));
+    assert(s.window < before);
+}
+
+// Many fronts share a window; under one launch it is kept by pauses (i6a0c13).
+void smallWindowIsKeptByPauses() {
+    Bench b;
+    Store& s = b.store("s");
+    const Transaction& t = b.transaction(look);
+    s.window = 0.5;
+    s.lastLaunch = b.now;
+    b.pass(150);
+    assert(!b.hasRoom(s, t));
+    b.pass(100);
+    assert(b.hasRoom(s, t));
+}
+
+// Reads that spill over leave half of the primary's window to writes.
+void spiltReadsLeaveRoom() {
+    Bench b;
+    Store& p = b.primary("p");
+    p.window = 4;
+    for (int i = 0; i < 2; ++i) p.out.push_back({"x", i, pay, b.now, false});
+    assert(!b.hasRoom(p, b.transaction(look)) && b.hasRoom(p, b.transaction(pay, "w")));
+}
+
+// Rule 4: a cold store gets its share of what warm ones bear, long work none, and no burst.
+void coldStoreKeepsItsShare() {
+    Bench b;
+    Store& s = b.store("s");
+    s.started = b.now;
+    s.coldCreditAt = b.now;
+    const double work = 100e6;
+    b.setBearing(0.8);
+    int launched = 0;
+    for (int i = 0; i < 300; ++i) {
+        b.pass(5);
+        if (!b.coldRoom(s, work)) continue;
+        s.coldCredit -= work;
+        ++launched;
+    }
+    // A quarter to a third of 0.8 over 1.5 s, in launches of 0.1 s, and one ahead.
+    assert(launched >= 3 && launched <= 5);
+    assert(!b.coldRoom(s, 10 * work));
+}
+
+int main() {
+    unusualSilenceIsNoticed();
+    silentStoreIsTried();
+    refusalDoesNotEndASilence();
+    awayStoreComesBackByProbe();
+    resetAsksForAProbe();
+    fruitlessStoreRests();
+    windowFollowsTheAnswers();
+    smallWindowIsKeptByPauses();
+    spiltReadsLeaveRoom();
+    coldStoreKeepsItsShare();
+}
--- a/tests/launch.cpp
+++ b/tests/launch.cpp
@@ -1,3 +1,105 @@
 #include "bench.hpp"
 
-int main() {}
+using namespace granitereel;
+
+// Each launch leaves a step behind; a harmless one goes elsewhere when its launch came to nothing.
+void harmlessGoesElsewhere() {
+    Bench b;
+    Store& a = b.store("a", Pool::premium);
+    b.store("c", Pool::premium);
+    b.launch(b.transaction(look), a);
+    b.end("t", 0, a, Ending::unreachable);
+    assert(b.launchedTo("t", "c"));
+}
+
+// A write that was turned away unseen waits for its primary and goes again.
+void refusedWriteWaits() {
+    Bench b;
+    Store& p = b.primary("p");
+    b.launch(b.transaction(pay), p);
+    b.end("t", 0, p, Ending::full);
+    assert(b.known("t") && b.group.held.size() == 1);
+    b.pass(200);
+    b.front.woke(0);
+    assert(b.notes.count("launch t p") == 2);
+}
+
+// Writes wait for a new primary without burning launches.
+void writesWaitForANewPrimary() {
+    Bench b;
+    Store& a = b.store("a");
+    a.role = Role::replica;
+    a.roleHeard = b.now;
+    Transaction& t = b.transaction(pay);
+    b.route(t);
+    assert(t.launches == 0 && b.group.held.size() == 1);
+    b.pass(20);
+    b.tellRole(a, Role::primary, b.now, true);
+    b.front.woke(0);
+    assert(b.launchedTo("t", "a"));
+}
+
+// Nobody to ask at all: the transaction is held, and answered before its client's time is up.
+void emptyGroupIsAnsweredInTime() {
+    Bench b;
+    b.front.take("t", look, "", millis(900), 5, {});
+    for (int i = 0; i < 50 && b.known("t"); ++i) {
+        b.pass(20);
+        b.front.woke(0);
+    }
+    assert(b.notes.lines.back() == "nack t" && b.now < millis(1'000'900));
+}
+
+// A lone primary serves its group's reads.
+void groupOfOne() {
+    Bench b;
+    b.primary("p");
+    b.front.take("t", look, "", millis(900), 0, {});
+    assert(b.launchedTo("t", "p"));
+}
+
+// A try with unusual patience is a repeat: its goal time ran from the first try (i96527c).
+void repeatsAreToldByTheirPatience() {
+    Bench b;
+    for (int i = 0; i < 20; ++i) assert(b.alreadyWaited(look, millis(700) + i * 100'000) == 0);
+    assert(b.alreadyWaited(look, millis(500)) == millis(500));
+    assert(b.alreadyWaited(look, millis(700)) == 0);
+}
+
+void varyingPatienceTellsNothing() {
+    Bench b;
+    for (int i = 0; i < 40; ++i) assert(b.alreadyWaited(look, millis(100 + 21 * i)) == 0);
+}
+
+// Held transactions go by the gain to be expected: one with little time left gives way.
+void expectedGainFallsWithTime() {
+    Bench b;
+    const Transaction& t = b.transaction(look);
+    const double fresh = b.gainNow(t);
+    b.pass(350);
+    assert(b.gainNow(t) < 0.6 * fresh);
+    assert(b.gainNow(b.transaction(recent, "r")) < fresh);
+}
+
+// The client has left: launches are called off, nothing more is sent.
+void lapsedIsForgotten() {
+    Bench b;
+    Store& a = b.store("a", Pool::premium);
+    b.launch(b.transaction(look), a);
+    b.front.lapsed("t");
+    assert(!b.known("t") && b.notes.lines.back() == "cancel t 0");
+    b.end("t", 0, a, Ending::cancelled);
+    assert(a.out.empty() && a.load[0] == 0);
+}
+
+int main() {
+    harmlessGoesElsewhere();
+    refusedWriteWaits();
+    writesWaitForANewPrimary();
+    emptyGroupIsAnsweredInTime();
+    groupOfOne();
+    repeatsAreToldByTheirPatience();
+    varyingPatienceTellsNothing();
+    expectedGainFallsWithTime();
+    lapsedIsForgotten();
+}
--- a/tests/list.cpp
+++ b/tests/list.cpp
@@ -1,3 +1,119 @@
 #include "bench.hpp"
 
-int main() {}
+using namespace granitereel;
+
+// A store missing from a whole list is gone; one missing from a change is not.
+void wholeListEndsTheMissing() {
+    Bench b;
+    Store& a = b.store("a");
+    Store& z = b.store("z");
+    b.front.listBegins(false);
+    b.front.listEntry("a", 0, 0, Standing::up, 0, false);
+    b.front.listEnds();
+    assert(z.standing == Standing::up);
+    b.front.listBegins(true);
+    b.front.listEntry("a", 0, 0, Standing::up, 0, false);
+    b.front.listEnds();
+    assert(a.standing == Standing::up && z.standing == Standing::removed);
+}
+
+// A list that names a primary is believed only while nothing better is known.
+void listNamesThePrimaryOnlyAtFirst() {
+    Bench b;
+    b.front.listBegins(true);
+    b.front.listEntry("a", 0, 0, Standing::up, 0, true);
+    b.front.listEnds();
+    assert(b.group.primary && b.group.primary->id == "a");
+    b.front.listBegins(false);
+    b.front.listEntry("b", 0, 0, Standing::up, 0, true);
+    b.front.listEnds();
+    assert(b.group.primary->id == "a");
+}
+
+// Rule 3: the list is asked at once, again well before silence counts as told, and soon after a failure.
+void keepsAskingTheList() {
+    Charter c = charter();
+    c.mustAsk = true;
+    Bench b(c);
+    b.front.woke(0);
+    assert(b.notes.count("follow") == 1);
+    b.pass(6980);
+    b.front.woke(0);
+    assert(b.notes.count("follow") == 1);
+    b.pass(20);
+    b.front.woke(0);
+    assert(b.notes.count("follow") == 2);
+    b.front.listFailed();
+    b.pass(1500);
+    b.front.woke(0);
+    assert(b.notes.count("follow") == 3);
+}
+
+// A drained primary is no longer written to, and the pools are dealt again.
+void drainedPrimaryIsNone() {
+    Bench b;
+    b.primary("p");
+    b.front.listBegins(false);
+    b.front.listEntry("p", 0, 0, Standing::draining, 0, true);
+    b.front.listEnds();
+    assert(!b.group.primary);
+}
+
+// Of two statements on a role the later one holds; a report is as old as its position.
+void laterRoleHolds() {
+    Bench b;
+    Store& p = b.primary("p");
+    Store& s = b.store("s");
+    b.front.reported("s", b.now - millis(500), true);
+    assert(b.group.primary == &p);
+    b.pass(100);
+    b.front.reported("s", b.now - millis(10), true);
+    assert(b.group.primary == &s);
+}
+
+// A primary that hands over answers reads as one still, and is not believed (id3961c); a replica just
+// elected is.
+void handingOverDoesNotFlip() {
+    Bench b;
+    Store& p = b.primary("p");
+    b.pass(10);
+    b.tellRole(p, Role::replica, b.now, true);
+    assert(!b.group.primary);
+    b.pass(100);
+    b.tellRole(p, Role::primary, b.now, true);
+    assert(!b.group.primary);
+    Store& s = b.store("s");
+    b.tellRole(s, Role::replica, b.now, true);
+    b.pass(10);
+    b.tellRole(s, Role::primary, b.now, true);
+    assert(b.group.primary == &s);
+}
+
+// Step 2: a write tries members in order past those that are replicas, then waits; its last launch is kept.
+void writeSeeksThePrimary() {
+    Bench b;
+    Store& a = b.store("a");
+    Store& c = b.store("c");
+    Transaction& t = b.transaction(pay);
+    assert(b.pick(t) == &a);
+    a.role = Role::replica;
+    a.roleHeard = b.now;
+    assert(b.pick(t) == &c);
+    c.role = Role::replica;
+    c.roleHeard = b.now;
+    assert(b.pick(t) == nullptr);
+    b.pass(1000);
+    assert(b.pick(t) == &a);
+    t.launches = 5;
+    assert(b.pick(t) == nullptr);
+}
+
+int main() {
+    wholeListEndsTheMissing();
+    listNamesThePrimaryOnlyAtFirst();
+    keepsAskingTheList();
+    drainedPrimaryIsNone();
+    laterRoleHolds();
+    handingOverDoesNotFlip();
+    writeSeeksThePrimary();
+}
