--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -639,8 +639,8 @@
     // A broken connection may be the store's end or only the connection's: a probe tells soon.
     if (how == Ending::broken) probe(store);
     auto shrink = [&](double share) {
-        // Once per fifth of a second: answers that were sent together are one sign.
-        if (now_ - store.shrunk < millis(200)) return;
+        // Once per 50 ms: answers that were held up together are one sign.
+        if (now_ - store.shrunk < millis(50)) return;
         store.shrunk = now_;
         store.window = std::max(0.25, share * std::min(store.window, double(store.out.size()) + 1));
     };
