--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -103,7 +103,7 @@
     if (started > store.started) {  // it has started again: cold, and perhaps no longer the primary
         store.started = started;
         store.suspectSince = store.awaySince = 0;
-        store.stretch = {};
+        store.faults = {};
     }
     if (standing != store.standing) standDown(store, standing);
     const bool newlyNamed = primary && !store.listedAsPrimary && standing == Standing::up;
@@ -292,6 +292,9 @@
 constexpr Nanos healthMemory = millis(5'000);
 // Half-life of a lane's mean time: long, since the lanes' work does not change within a day.
 constexpr Nanos laneMemory = millis(30'000);
+// The first trial of a doubtful store comes soon, since most troubles of a store are short; each later one after
+// twice the pause.
+constexpr Nanos firstTrial = millis(250);
 // Before a lane or a store has been seen, an answer is expected within this.
 constexpr double firstGuess = 100e6;
 }  // namespace
@@ -315,7 +318,7 @@
         store.suspectSince = 0;
     }
     if (store.awaySince) {
-        out_.log("store " + store.id + " is reachable again");
+        if (now_ - store.awaySince >= firstTrial) out_.log("store " + store.id + " is reachable again");
         // Away for a second or more, it may have started again; the list may tell so much later.
         if (now_ - store.awaySince > millis(1000)) store.started = std::max(store.started, now_);
         store.awaySince = 0;
@@ -326,10 +329,9 @@
     Nanos& since = away ? store.awaySince : store.suspectSince;
     if (since) return;
     since = now_;
-    // The first trial comes soon, since most silences are short; each later one after twice the pause.
-    store.trialPause = millis(250);
+    store.trialPause = firstTrial;
     store.nextTrial = now_ + store.trialPause;
-    out_.log("store " + store.id + (away ? " is out of reach" : " is silent"));
+    if (!away) out_.log("store " + store.id + " is silent");
     // Of a store out of reach, nothing is called back: its launches break by themselves, or go on.
     if (!away) recall(store);
 }
@@ -409,13 +411,16 @@
         return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
                freshEnough(*s, transaction) && hasRoom(*s, transaction);
     };
-    // The least by (load, other zone, id), of the members that a condition admits.
+    // The least by (load, other zone, id), of the members that a condition admits. Where a tenth or more of
+    // the launches come to nothing, one launch is added to the load: as many will have to be made again. It
+    // guards against stores behind a broken link, and should catch any that fail now and then.
     auto least = [&](auto admits, auto load) {
         Store* best = nullptr;
         std::pair<int, bool> bestKey;
         for (Store* s : group.members) {
             if (!admits(s) || !usable(s)) continue;
-            const std::pair<int, bool> key{load(s), s->zone != zone_};
+            const bool faulty = s->faults.read(now_, healthMemory, 0) > 0.1;
+            const std::pair<int, bool> key{load(s) + (faulty ? 1 : 0), s->zone != zone_};
             if (!best || key < bestKey) best = s, bestKey = key;
         }
         return best;
@@ -649,6 +654,8 @@
     // draws the next as soon as its slots are free. Either rests for 20 ms, twice as long after each further
     // fruitless launch, 640 ms at most, until it delivers. It guards against stores that are full, out of
     // slots or all but dead, and should catch any that fail fast; a full group waits that much longer.
+    if (how != Ending::cancelled && how != Ending::missed)
+        store.faults.add(now_, healthMemory, how == Ending::delivered ? 0 : 1);
     const bool lapsed = how == Ending::timedOut && double(delay) > workOf(launch.lane);
     if (how == Ending::full || how == Ending::error || how == Ending::broken || lapsed) {
         store.fruitless = std::min(store.fruitless + 1, 6);
@@ -658,7 +665,6 @@
     // A client that would not wait longer is as sure a sign of too long a queue as a late answer.
     if (how == Ending::timedOut) shrink(0.85);
     if (how != Ending::delivered) return;
-    store.stretch.add(now_, healthMemory, double(delay) / workOf(launch.lane));
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
     store.borne.add(now_, healthMemory, workOf(launch.lane));
     // The window grows with answers in good time, and shrinks when one comes near its goal time: waiting
@@ -769,6 +775,7 @@
         if (store->standing != Standing::up) continue;
         judgeSilence(*store);
         if (store->awaySince && now_ >= store->nextTrial) {
+            if (store->trialPause == firstTrial) out_.log("store " + store->id + " is out of reach");
             store->trialPause = std::min(2 * store->trialPause, millis(1000));
             store->nextTrial = now_ + store->trialPause;
             probe(*store);
