--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -103,7 +103,6 @@
     if (started > store.started) {  // it has started again: cold, and perhaps no longer the primary
         store.started = started;
         store.suspectSince = store.awaySince = 0;
-        store.faults = {};
     }
     if (standing != store.standing) standDown(store, standing);
     const bool newlyNamed = primary && !store.listedAsPrimary && standing == Standing::up;
@@ -411,16 +410,13 @@
         return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
                freshEnough(*s, transaction) && hasRoom(*s, transaction);
     };
-    // The least by (load, other zone, id), of the members that a condition admits. Where a tenth or more of
-    // the launches come to nothing, one launch is added to the load: as many will have to be made again. It
-    // guards against stores behind a broken link, and should catch any that fail now and then.
+    // The least by (load, other zone, id), of the members that a condition admits.
     auto least = [&](auto admits, auto load) {
         Store* best = nullptr;
         std::pair<int, bool> bestKey;
         for (Store* s : group.members) {
             if (!admits(s) || !usable(s)) continue;
-            const bool faulty = s->faults.read(now_, healthMemory, 0) > 0.1;
-            const std::pair<int, bool> key{load(s) + (faulty ? 1 : 0), s->zone != zone_};
+            const std::pair<int, bool> key{load(s), s->zone != zone_};
             if (!best || key < bestKey) best = s, bestKey = key;
         }
         return best;
@@ -654,8 +650,6 @@
     // draws the next as soon as its slots are free. Either rests for 20 ms, twice as long after each further
     // fruitless launch, 640 ms at most, until it delivers. It guards against stores that are full, out of
     // slots or all but dead, and should catch any that fail fast; a full group waits that much longer.
-    if (how != Ending::cancelled && how != Ending::missed)
-        store.faults.add(now_, healthMemory, how == Ending::delivered ? 0 : 1);
     const bool lapsed = how == Ending::timedOut && double(delay) > workOf(launch.lane);
     if (how == Ending::full || how == Ending::error || how == Ending::broken || lapsed) {
         store.fruitless = std::min(store.fruitless + 1, 6);
