--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -665,7 +665,9 @@
     // then is better done here, where the highest gain goes first. Growth and shrinking meet where the
     // window is in proportion to the root of the step, so a step by the square of this front's share lets all
     // fronts together keep out the same, however many they are. Two launches a window for all of them.
-    if (double(delay) > 0.6 * double(lane.goalTime))
+    const Nanos lag = store.positionTold - store.position;
+    const bool slipping = lag > 2 * probeAge_ && lag < 2 * probeAge_ + millis(1000) && !isLong(launch.lane);
+    if (slipping || double(delay) > 0.6 * double(lane.goalTime))
         shrink(0.85);
     else if (double(store.out.size()) + 1 >= 0.75 * store.window)
         store.window += 4.0 / (fronts_ * fronts_) / std::max(3.0 / fronts_, store.window);
