--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -666,7 +666,7 @@
     // window is in proportion to the root of the step, so a step by the square of this front's share lets all
     // fronts together keep out the same, however many they are. Two launches a window for all of them.
     const Nanos lag = store.positionTold - store.position;
-    const bool slipping = lag > 2 * probeAge_ && lag < 2 * probeAge_ + millis(1000) && !isLong(launch.lane);
+    const bool slipping = lag > probeAge_ && lag < 4 * probeAge_ && !isLong(launch.lane);
     if (slipping || double(delay) > 0.6 * double(lane.goalTime))
         shrink(0.85);
     else if (double(store.out.size()) + 1 >= 0.75 * store.window)
