--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -665,6 +665,8 @@
     // then is better done here, where the highest gain goes first. Growth and shrinking meet where the
     // window is in proportion to the root of the step, so a step by the square of this front's share lets all
     // fronts together keep out the same, however many they are. Two launches a window for all of them.
+    // A replica that slips from half the bound to twice it gets less, too: it is crowded, and applies the log
+    // too slowly to serve bounded reads soon. Further behind it is a lost cause, and may as well work.
     const Nanos lag = store.positionTold - store.position;
     const bool slipping = lag > probeAge_ && lag < 4 * probeAge_ && !isLong(launch.lane);
     if (slipping || double(delay) > 0.6 * double(lane.goalTime))
