Let windows also grow by a fiftieth for each good answer

Cause looked for: with many fronts the step by the squared share is too small for the one front that has a group's traffic.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -672,7 +672,7 @@
     if (slipping || double(delay) > 0.6 * double(lane.goalTime))
         shrink(0.85);
     else if (double(store.out.size()) + 1 >= 0.75 * store.window)
-        store.window += 4.0 / (fronts_ * fronts_) / std::max(3.0 / fronts_, store.window);
+        store.window += 4.0 / (fronts_ * fronts_) / std::max(3.0 / fronts_, store.window) + 0.02 * store.window;
 }
 
 void Front::hold(Transaction& t) {
