--- a/adapter/charter.cpp
+++ b/adapter/charter.cpp
@@ -40,7 +40,7 @@
         std::string_view what) {
     for (const auto& [name, value] : known)
         if (name == text) return value;
-    throw std::runtime_error("settings: unknown " + std::string(what) + " '" + std::string(text) + "'");
+    throw WireFault("settings: unknown " + std::string(what) + " '" + std::string(text) + "'");
 }
 
 }  // namespace
@@ -74,7 +74,6 @@
     charter.marksKept = word(domain, "session-marks") == "kept";
     if (word(report, "how") != "off" && present(report, "fields"))
         for (element field : simdjson::dom::array(report["fields"])) {
-            if (std::string_view(field) == "x0") charter.reportsTellPosition = true;
             if (std::string_view(field) == "x1") charter.reportsTellRole = true;
         }
     opening.origin = nanosOf(number(domain, "origin-time-ms"));
--- a/adapter/charter.hpp
+++ b/adapter/charter.hpp
@@ -3,10 +3,17 @@
 
 #include <simdjson.h>
 
+#include <stdexcept>
+
 #include "front.hpp"
 
 namespace granitereel::adapter {
 
+// The wire says something it may not: the adapter ends.
+struct WireFault : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
 Nanos nanosOf(double milliseconds);
 std::optional<simdjson::dom::element> present(const simdjson::dom::object& in, std::string_view name);
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -39,9 +39,13 @@
     tick_ = std::max<Nanos>(charter.tick, millis(1));
     coldTime_ = charter.coldTime;
     coldFrom_ = charter.coldFrom;
-    // A cold store is given at most this multiple of what its share of the warm stores' work would be.
-    // Half the allowed multiple leaves room for chance; beyond 2 it would only queue.
+    // A cold store is given at most this multiple of what its share of the warm stores' work would be. Half
+    // the allowed multiple leaves room for chance and handshakes; beyond 2 it would only queue.
     coldFactor_ = std::min(2.0, 0.5 * charter.fallMultiple);
+    // Growth and shrinking of a window meet where it is in proportion to the root of this step. By the square
+    // of the front's share, all fronts together keep out the same, however many they are; twice the share was
+    // the best of those tried.
+    step_ = 4.0 / (fronts_ * fronts_);
     // Clients that heed advice are asked to stay away a tenth of the longest they would heed.
     advice_ = charter.adviceHeard ? charter.longestAdvice / 10 : 0;
     // The list is asked again after 0.7 of the time in which silence counts as having been told.
@@ -192,8 +196,6 @@
 constexpr int theta = 2;
 constexpr double alpha[2] = {0.60, 0.80};
 constexpr int freemiumFloor = 1;
-// Half-life of the tiers' measured work, by which the replicas are split.
-constexpr Nanos splitMemory = millis(10'000);
 }  // namespace
 
 void Front::deal(Group& group) {
@@ -287,12 +289,13 @@
 // ---- health ---------------------------------------------------------------------------------------
 
 namespace {
-// Gaps and stretches are remembered for some seconds: shorter than most troubles, longer than chance.
+// Gaps between answers, and work borne, are remembered for some seconds: shorter than most troubles, longer
+// than chance.
 constexpr Nanos healthMemory = millis(5'000);
 // Half-life of a lane's mean time: long, since the lanes' work does not change within a day.
 constexpr Nanos laneMemory = millis(30'000);
-// The first trial of a doubtful store comes soon, since most troubles of a store are short; each later one after
-// twice the pause.
+// The first trial of a doubtful store comes soon, since most troubles of a store are short; each later one
+// after twice the pause.
 constexpr Nanos firstTrial = millis(250);
 // Before a lane or a store has been seen, an answer is expected within this.
 constexpr double firstGuess = 100e6;
@@ -462,7 +465,8 @@
 // application of the log where it runs; spread over the pools it would make every replica unfit for bounded
 // and session reads, so that all of these fall on the primary. It needs no agreement: whichever replica
 // takes the first falls behind and is then chosen by all fronts. It should also keep long work off good
-// replicas when the log is slow or cut off for other reasons. It may hurt where long work is most of the load.
+// replicas when the log is slow or cut off for other reasons. It may hurt where long work is most of the
+// load.
 Store* Front::pickForLong(Group& group, const Transaction& transaction) {
     Store* best = nullptr;
     for (Store* s : group.members) {
@@ -543,7 +547,7 @@
     t.lane = lane;
     t.group = &groups_[groupNo];
     t.arrived = now_;
-    t.goal = now_ + lanes_[lane].goalTime - alreadyWaited(lane, patience);
+    t.goal = now_ + lanes_.at(lane).goalTime - alreadyWaited(lane, patience);
     t.cutOff = now_ + patience;
     if (sinceWrite) t.mustSee = now_ - *sinceWrite;
     if (lanes_[lane].need == Need::session && marksKept_) {
@@ -650,8 +654,8 @@
     // draws the next as soon as its slots are free. Either rests for 20 ms, twice as long after each further
     // fruitless launch, 640 ms at most, until it delivers. It guards against stores that are full, out of
     // slots or all but dead, and should catch any that fail fast; a full group waits that much longer.
-    const bool lapsed = how == Ending::timedOut && double(delay) > workOf(launch.lane);
-    if (how == Ending::full || how == Ending::error || how == Ending::broken || lapsed) {
+    const bool tooLong = how == Ending::timedOut && double(delay) > workOf(launch.lane);
+    if (how == Ending::full || how == Ending::error || how == Ending::broken || tooLong) {
         store.fruitless = std::min(store.fruitless + 1, 6);
         store.restsUntil = now_ + millis(10 << store.fruitless);
     }
@@ -662,9 +666,8 @@
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
     store.borne.add(now_, healthMemory, workOf(launch.lane));
     // The window grows with answers in good time, and shrinks when one comes near its goal time: waiting
-    // then is better done here, where the highest gain goes first. Growth and shrinking meet where the
-    // window is in proportion to the root of the step, so a step by the square of this front's share lets all
-    // fronts together keep out the same, however many they are. Two launches a window for all of them.
+    // then is better done here, where the highest gain goes first. The fiftieth lets a front that has most
+    // of a group's traffic outgrow its share.
     // A replica that slips from half the bound to twice it gets less, too: it is crowded, and applies the log
     // too slowly to serve bounded reads soon. Further behind it is a lost cause, and may as well work.
     const Nanos lag = store.positionTold - store.position;
@@ -672,7 +675,7 @@
     if (slipping || double(delay) > 0.6 * double(lane.goalTime))
         shrink(0.85);
     else if (double(store.out.size()) + 1 >= 0.75 * store.window)
-        store.window += 4.0 / (fronts_ * fronts_) / std::max(3.0 / fronts_, store.window) + 0.02 * store.window;
+        store.window += step_ / std::max(3.0 / fronts_, store.window) + 0.02 * store.window;
 }
 
 void Front::hold(Transaction& t) {
@@ -702,8 +705,8 @@
 // Whether a transaction can no longer earn anything, or no longer be launched by the rules.
 bool Front::hopeless(const Transaction& t) {
     const Lane& lane = lanes_[t.lane];
-    // Half the usual time: some are quicker. Two ticks for the way back.
-    const Nanos soonest = now_ + static_cast<Nanos>(1.0 * workOf(t.lane)) + 2 * tick_;
+    // With less than the usual time left, two in three would come too late. Two ticks for the way back.
+    const Nanos soonest = now_ + static_cast<Nanos>(workOf(t.lane)) + 2 * tick_;
     if (soonest > t.cutOff || (lane.lateShare <= 0 && soonest > t.goal)) return true;
     return lane.effect == Effect::stamped && t.mayHaveRunSince && now_ >= t.mayHaveRunSince + lane.window;
 }
@@ -744,6 +747,8 @@
     if (!mayProbe_ || store.probing || store.standing != Standing::up) return;
     store.probing = true;
     store.probedAt = now_;
+    // Booked as a millisecond of a cold store's work, well over what probes cost.
+    if (coldShare(store) < 1) store.coldCredit -= 1e6;
     out_.probe(store.id);
 }
 
@@ -763,7 +768,7 @@
     if (primary && position) tellRole(*store, *primary ? Role::primary : Role::replica, *position, false);
 }
 
-// The front's own clockwork, every 20 ms: a tenth of the tightest goal times met so far.
+// The front's own clockwork, every 20 ms: a small part of any goal time.
 void Front::round() {
     out_.wake(now_ + millis(20), 0);
     tendList();
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -48,7 +48,7 @@
     int launchLimit = 1;
     bool mayProbe = false, mayCancel = false, adviceHeard = false;
     bool mustAsk = false, storesCheck = false, marksKept = false;
-    bool reportsTellRole = false, reportsTellPosition = false, onlyDrainingBinds = false;
+    bool reportsTellRole = false, onlyDrainingBinds = false;
     Nanos catchUpWait = 0;  // how long a store that checks waits to catch up
     Nanos longestAdvice = 0, askWithin = 0, tick = 0, coldTime = 0;
     double coldFrom = 1, fallMultiple = 1;
@@ -146,7 +146,6 @@
     Store* primary = nullptr;
     int target[2] = {0, 0};
     bool redeal = true;
-    DecayingSum work[2];  // read work asked for, by tier
     std::vector<Transaction*> held;
     Nanos soughtAt = 0;
 };
@@ -252,7 +251,7 @@
     int front_, fronts_, zone_, launchLimit_;
     bool mayProbe_, mayCancel_, mustAsk_, storesCheck_, marksKept_, probeTellsRole_, onlyDrainingBinds_;
     Nanos advice_, askEvery_, tick_, coldTime_, probeAge_, catchUpWait_;
-    double coldFrom_, coldFactor_;
+    double coldFrom_, coldFactor_, step_;
 
     std::map<std::string, std::unique_ptr<Store>> stores_;
     std::map<int, Group> groups_;
--- a/tests/bench.hpp
+++ b/tests/bench.hpp
@@ -53,7 +53,7 @@
     stamped.window = millis(1200);
     lane(Need::fresh, Effect::harmless, 1, millis(600), millis(2000));
     c.launchLimit = 6;
-    c.mayProbe = c.mayCancel = c.reportsTellRole = c.reportsTellPosition = true;
+    c.mayProbe = c.mayCancel = c.reportsTellRole = true;
     c.askWithin = millis(10'000);
     c.coldTime = millis(15'000);
     c.coldFrom = 0.25;
@@ -124,11 +124,15 @@
     bool hasRoom(Store& s, const Transaction& t) { return front.hasRoom(s, t); }
     bool coldRoom(Store& s, double work) { return front.coldRoom(s, work); }
     void setBearing(double work) { front.bearing_ = work; }
-    void settle(Store& s, Ending how, Nanos delay) { front.settleAccount(s, {"x", 0, look, now, false}, how, delay); }
+    void settle(Store& s, Ending how, Nanos delay) {
+        front.settleAccount(s, {"x", 0, look, now, false}, how, delay);
+    }
     void seen(int lane, Nanos delay) { front.laneTime_[lane].add(now, millis(30'000), double(delay)); }
     Nanos alreadyWaited(int lane, Nanos patience) { return front.alreadyWaited(lane, patience); }
     double gainNow(const Transaction& t) { return front.gainNow(t); }
-    bool launchedTo(const std::string& t, const std::string& s) { return notes.count("launch " + t + " " + s) > 0; }
+    bool launchedTo(const std::string& t, const std::string& s) {
+        return notes.count("launch " + t + " " + s) > 0;
+    }
     void end(const std::string& t, int no, Store& s, Ending how, Role role = Role::unknown) {
         front.ended(t, no, s.id, how, millis(20), role, {}, how == Ending::delivered);
     }
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -117,6 +117,20 @@
     assert(!b.hasRoom(p, b.transaction(look)) && b.hasRoom(p, b.transaction(pay, "w")));
 }
 
+// A crowded replica that slips behind gets fewer reads; one that is long lost keeps them (id830c7).
+void slippingReplicaSheds() {
+    Bench b;
+    Store& s = b.store("s");
+    for (const auto& [lag, shrinks] : {std::pair{100, false}, {200, true}, {700, false}}) {
+        s.window = 4;
+        s.shrunk = 0;
+        s.position = b.now - millis(lag);
+        s.positionTold = b.now;
+        b.settle(s, Ending::delivered, millis(20));
+        assert((s.window < 4) == shrinks);
+    }
+}
+
 // Rule 4: a cold store gets its share of what warm ones bear, long work none, and no burst.
 void coldStoreKeepsItsShare() {
     Bench b;
@@ -147,5 +161,6 @@
     windowFollowsTheAnswers();
     smallWindowIsKeptByPauses();
     spiltReadsLeaveRoom();
+    slippingReplicaSheds();
     coldStoreKeepsItsShare();
 }
--- a/tests/pools.cpp
+++ b/tests/pools.cpp
@@ -10,7 +10,8 @@
     for (const char* id : {"a", "b", "c", "d", "e"}) b.store(id);
     b.primary("p");
     b.deal();
-    const Pool expected[] = {Pool::mixed, Pool::premium, Pool::premium, Pool::freemium, Pool::freemium, Pool::none};
+    const Pool expected[] = {Pool::mixed,    Pool::premium,  Pool::premium,
+                             Pool::freemium, Pool::freemium, Pool::none};
     for (int i = 0; i < 6; ++i) assert(b.group.members[i]->pool == expected[i]);
 }
 
