Let Premium cover the lanes of the highest gain for each second of goal time

Cause: by gain alone Premium held only the reports, which go to the laggard anyway, and two fifths of the replicas stood apart from all other reads.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -50,15 +50,17 @@
     advice_ = charter.adviceHeard ? charter.longestAdvice / 10 : 0;
     // The list is asked again after 0.7 of the time in which silence counts as having been told.
     askEvery_ = charter.askWithin * 7 / 10;
-    // Premium covers the read lanes of the highest gain (step 2 of the design).
+    // Premium covers the read lanes of the highest worth (step 2 of the design): the gain for each second of
+    // goal time, as a lane that may take long can do with what the others leave.
+    auto worth = [](const Lane& lane) { return lane.gain / double(std::max<Nanos>(lane.goalTime, 1)); };
     double top = 0;
     Nanos bound = 0;
     for (const Lane& lane : lanes_) {
         if (lane.need == Need::write || lane.need == Need::fresh) continue;
-        top = std::max(top, lane.gain);
+        top = std::max(top, worth(lane));
         if (lane.need == Need::bounded) bound = bound == 0 ? lane.bound : std::min(bound, lane.bound);
     }
-    for (Lane& lane : lanes_) lane.premium = lane.gain >= top;
+    for (Lane& lane : lanes_) lane.premium = worth(lane) >= top;
     // Half the tightest bound; without a bounded lane, a quarter of a second for the sessions' sake.
     probeAge_ = bound > 0 ? bound / 2 : millis(250);
     askAt_ = now_;
