--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -397,7 +397,7 @@
     // Reads that spill over to the primary leave it half of its window for writes and fresh reads.
     const Need need = lanes_[transaction.lane].need;
     const bool spilt = groups_[store.group].primary == &store && need != Need::write && need != Need::fresh;
-    const double window = store.window * (spilt ? 0.5 : 1.0);
+    const double window = store.window * (spilt ? 0.7 : 1.0);
     // A window below one is kept by pauses between single launches.
     if (window < 1 && !store.out.empty()) return false;
     if (window < 1 && double(now_ - store.lastLaunch) * window < workOf(transaction.lane)) return false;
