--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -394,10 +394,17 @@
 }
 
 bool Front::hasRoom(Store& store, const Transaction& transaction) {
-    // Reads that spill over to the primary leave it half of its window for writes and fresh reads.
+    // Reads that spill over to the primary get the part of its window that their gain for their work is, of
+    // theirs and that of the best write: where writes are worth more, they keep more for themselves.
     const Need need = lanes_[transaction.lane].need;
-    const bool spilt = groups_[store.group].primary == &store && need != Need::write && need != Need::fresh;
-    const double window = store.window * (spilt ? 0.7 : 1.0);
+    double window = store.window;
+    if (groups_[store.group].primary == &store && need != Need::write && need != Need::fresh) {
+        double best = 0;
+        for (std::size_t lane = 0; lane < lanes_.size(); ++lane)
+            if (lanes_[lane].need == Need::write) best = std::max(best, lanes_[lane].gain / workOf(lane));
+        const double mine = lanes_[transaction.lane].gain / workOf(transaction.lane);
+        window *= std::min(1.0, 1.3 * mine / (mine + best));
+    }
     // A window below one is kept by pauses between single launches.
     if (window < 1 && !store.out.empty()) return false;
     if (window < 1 && double(now_ - store.lastLaunch) * window < workOf(transaction.lane)) return false;
