--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -403,7 +403,7 @@
         for (std::size_t lane = 0; lane < lanes_.size(); ++lane)
             if (lanes_[lane].need == Need::write) best = std::max(best, lanes_[lane].gain / workOf(lane));
         const double mine = lanes_[transaction.lane].gain / workOf(transaction.lane);
-        window *= std::min(1.0, 1.3 * mine / (mine + best));
+        window *= std::clamp(1.4 * mine / (mine + best), 0.5, 1.0);
     }
     // A window below one is kept by pauses between single launches.
     if (window < 1 && !store.out.empty()) return false;
