--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -394,8 +394,8 @@
 }
 
 bool Front::hasRoom(Store& store, const Transaction& transaction) {
-    // Reads that spill over to the primary get the part of its window that their gain for their work is, of
-    // theirs and that of the best write: where writes are worth more, they keep more for themselves.
+    // Reads that spill over to the primary get half of its window, or more where their gain for their work is
+    // more beside that of the best write: 1.4 of their part of both, so that equal gains leave writes a third.
     const Need need = lanes_[transaction.lane].need;
     double window = store.window;
     if (groups_[store.group].primary == &store && need != Need::write && need != Need::fresh) {
