--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -39,9 +39,10 @@
     tick_ = std::max<Nanos>(charter.tick, millis(1));
     coldTime_ = charter.coldTime;
     coldFrom_ = charter.coldFrom;
-    // A cold store is given at most this multiple of what its share of the warm stores' work would be. Half
-    // the allowed multiple leaves room for chance and handshakes; beyond 2 it would only queue.
-    coldFactor_ = std::min(2.0, 0.5 * charter.fallMultiple);
+    // A cold store is given at most this multiple of what its share of the warm stores' work would be. As no
+    // store bears more than it can do, 0.7 of the allowed multiple leaves room for chance and handshakes;
+    // beyond 2 it would only queue.
+    coldFactor_ = std::min(2.0, 0.7 * charter.fallMultiple);
     // Growth and shrinking of a window meet where it is in proportion to the root of this step. By the square
     // of the front's share, all fronts together keep out the same, however many they are; twice the share was
     // the best of those tried.
