--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -670,8 +670,11 @@
         store.restsUntil = now_ + millis(10 << store.fruitless);
     }
     if (how == Ending::delivered) store.fruitless = 0;
-    // A client that would not wait longer is as sure a sign of too long a queue as a late answer.
-    if (how == Ending::timedOut) shrink(0.85);
+    const bool late = double(delay) > 0.6 * double(lane.goalTime);
+    if (how == Ending::delivered) store.late.add(now_, healthMemory, late ? 1 : 0);
+    // A client that would not wait longer is a sign of too long a queue where answers come late, too. Where
+    // they don't, the store or the way to it loses launches, and fewer of them would change nothing.
+    if (how == Ending::timedOut && store.late.read(now_, healthMemory, 1) > 0.1) shrink(0.85);
     if (how != Ending::delivered) return;
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
     store.borne.add(now_, healthMemory, workOf(launch.lane));
@@ -682,7 +685,7 @@
     // too slowly to serve bounded reads soon. Further behind it is a lost cause, and may as well work.
     const Nanos lag = store.positionTold - store.position;
     const bool slipping = lag > probeAge_ && lag < 4 * probeAge_ && !isLong(launch.lane);
-    if (slipping || double(delay) > 0.6 * double(lane.goalTime))
+    if (slipping || late)
         shrink(0.85);
     else if (double(store.out.size()) + 1 >= 0.75 * store.window)
         store.window += step_ / std::max(3.0 / fronts_, store.window) + 0.02 * store.window;
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -130,7 +130,7 @@
     std::vector<Launch> out;
 
     Nanos heard = 0;
-    RecentMean gaps;
+    RecentMean gaps, late;
     DecayingSum borne;  // work done for this front
     double window = 0;  // launches this front keeps out here at most
     Nanos shrunk = 0;
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -95,6 +95,16 @@
     assert(s.window < before);
 }
 
+// Launches that get lost while answers come in good time are no sign of a queue (ib03880).
+void lostLaunchesLeaveTheWindow() {
+    Bench b;
+    Store& s = b.store("s");
+    for (int i = 0; i < 20; ++i) b.settle(s, Ending::delivered, millis(20));
+    const double before = s.window;
+    b.settle(s, Ending::timedOut, millis(900));
+    assert(s.window == before);
+}
+
 // Many fronts share a window; under one launch it is kept by pauses (i6a0c13).
 void smallWindowIsKeptByPauses() {
     Bench b;
@@ -160,6 +170,7 @@
     resetAsksForAProbe();
     fruitlessStoreRests();
     windowFollowsTheAnswers();
+    lostLaunchesLeaveTheWindow();
     smallWindowIsKeptByPauses();
     spiltReadsLeaveRoom();
     slippingReplicaSheds();
