--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -357,19 +357,13 @@
     if (store.suspectSince || store.awaySince) return;
     const double quickest = quickestWork();
     Nanos since = std::numeric_limits<Nanos>::max();
-    int waiting = 0;
-    for (const Launch& launch : store.out) {
-        if (launch.cancelled || workOf(launch.lane) >= 4 * quickest) continue;
-        since = std::min(since, launch.sent);
-        ++waiting;
-    }
+    for (const Launch& launch : store.out)
+        if (!launch.cancelled && workOf(launch.lane) < 4 * quickest) since = std::min(since, launch.sent);
     if (since == std::numeric_limits<Nanos>::max()) return;
     const double silence = double(now_ - std::max(since, store.heard));
     // Gaps are about exponential: one of 8 means is seen once in 3000. The further 100 ms forgive the
     // short stalls that every store has.
-    // One launch alone may only be lost.
-    const double patience = 8 * store.gaps.read(now_, healthMemory, firstGuess / 2) + 100e6;
-    if (silence > (waiting > 1 ? patience : 2 * patience)) distrust(store, false);
+    if (silence > 8 * store.gaps.read(now_, healthMemory, firstGuess / 2) + 100e6) distrust(store, false);
 }
 
 bool Front::wellEnough(const Store& store) const {
