--- a/adapter/charter.cpp
+++ b/adapter/charter.cpp
@@ -8,7 +8,9 @@
 using simdjson::dom::element;
 using simdjson::dom::object;
 
-Nanos nanosOf(double milliseconds) { return std::llround(milliseconds * 1e6); }
+Nanos nanosOf(double milliseconds) {
+    return std::llround(milliseconds * 1e6);
+}
 
 std::optional<element> present(const object& in, std::string_view name) {
     auto found = in[name];
@@ -33,7 +35,9 @@
     return value ? std::string_view(*value) : std::string_view();
 }
 
-object part(const object& in, std::string_view name) { return object(in[name]); }
+object part(const object& in, std::string_view name) {
+    return object(in[name]);
+}
 
 template <class T>
 T named(std::string_view text, std::initializer_list<std::pair<std::string_view, T>> known,
--- a/adapter/main.cpp
+++ b/adapter/main.cpp
@@ -57,9 +57,9 @@
 
 Ending endingOf(std::string_view code) {
     static constexpr std::pair<char, Ending> known[] = {
-        {'S', Ending::delivered}, {'E', Ending::error},     {'F', Ending::full},
+        {'S', Ending::delivered}, {'E', Ending::error},       {'F', Ending::full},
         {'T', Ending::timedOut},  {'C', Ending::unreachable}, {'R', Ending::broken},
-        {'X', Ending::cancelled}, {'N', Ending::unsent},    {'M', Ending::missed}};
+        {'X', Ending::cancelled}, {'N', Ending::unsent},      {'M', Ending::missed}};
     if (code.size() == 1)
         for (const auto& [letter, ending] : known)
             if (letter == code[0]) return ending;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -7,16 +7,20 @@
 //
 // Read it in the order of its sections: list and roles, pools, freshness, health, pick, launch and
 // outcome, rule guards. docs/design.md tells which parts come from the paper.
-#include "front.hpp"
-
 #include <algorithm>
 #include <limits>
 
+#include "front.hpp"
+
 namespace granitereel {
 
 namespace {
-int tierOf(const Lane& lane) { return lane.premium ? 0 : 1; }
-Pool poolOf(int tier) { return tier == 0 ? Pool::premium : Pool::freemium; }
+int tierOf(const Lane& lane) {
+    return lane.premium ? 0 : 1;
+}
+Pool poolOf(int tier) {
+    return tier == 0 ? Pool::premium : Pool::freemium;
+}
 }  // namespace
 
 Front::Front(const Charter& charter, std::uint64_t seed, Nanos now, Outlet& outlet)
@@ -304,7 +308,9 @@
 constexpr double firstGuess = 100e6;
 }  // namespace
 
-double Front::workOf(int lane) { return laneTime_[lane].read(now_, laneMemory, firstGuess); }
+double Front::workOf(int lane) {
+    return laneTime_[lane].read(now_, laneMemory, firstGuess);
+}
 
 double Front::quickestWork() {
     double quickest = std::numeric_limits<double>::max();
@@ -396,7 +402,8 @@
 
 bool Front::hasRoom(Store& store, const Transaction& transaction) {
     // Reads that spill over to the primary get half of its window, or more where their gain for their work is
-    // more beside that of the best write: 1.4 of their part of both, so that equal gains leave writes a third.
+    // more beside that of the best write: 1.4 of their part of both, so that equal gains leave writes a
+    // third.
     const Need need = lanes_[transaction.lane].need;
     double window = store.window;
     if (groups_[store.group].primary == &store && need != Need::write && need != Need::fresh) {
@@ -604,9 +611,8 @@
                   Role role, std::optional<Nanos> position, bool over) {
     Store* store = find(storeId);
     if (!store) return;
-    auto launch = std::find_if(store->out.begin(), store->out.end(), [&](const Launch& l) {
-        return l.number == launchNo && l.transaction == id;
-    });
+    auto launch = std::find_if(store->out.begin(), store->out.end(),
+                               [&](const Launch& l) { return l.number == launchNo && l.transaction == id; });
     if (launch == store->out.end()) return;
     const Launch done = *launch;
     if (how == Ending::delivered || how == Ending::error || how == Ending::full || how == Ending::missed)
@@ -809,7 +815,9 @@
     }
 }
 
-void Front::woke(std::int64_t) { round(); }
+void Front::woke(std::int64_t) {
+    round();
+}
 
 // ---- rule guards ----------------------------------------------------------------------------------
 
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -16,7 +16,9 @@
 namespace granitereel {
 
 using Nanos = std::int64_t;
-constexpr Nanos millis(std::int64_t n) { return n * 1'000'000; }
+constexpr Nanos millis(std::int64_t n) {
+    return n * 1'000'000;
+}
 
 enum class Effect { harmless, stamped, oneShot };
 enum class Reach { group, zone, everywhere };  // which stores drop the repeats of a stamped transaction
@@ -116,12 +118,12 @@
     std::string id;
     int group = 0, zone = 0;
     Standing standing = Standing::up;
-    Nanos started = 0;    // when it was last seen to start; 0: long ago
+    Nanos started = 0;  // when it was last seen to start; 0: long ago
     bool listedAsPrimary = false;
     Role role = Role::unknown;
     Nanos roleAsOf = 0, roleHeard = 0, lostRole = 0;
     bool toldReplica = false;  // an answer has said so, and none since that it is the primary
-    Nanos position = -1;  // commits up to this time are applied; -1: never told
+    Nanos position = -1;       // commits up to this time are applied; -1: never told
     Nanos positionTold = 0, probedAt = 0;
     bool probing = false;
 
