--- a/tests/launch.cpp
+++ b/tests/launch.cpp
@@ -50,6 +50,17 @@
     assert(b.notes.lines.back() == "nack t" && b.now < millis(1'000'900));
 }
 
+// No primary for a long time: a write that never ran is nacked in time, with launches to spare.
+void longWithoutAPrimary() {
+    Bench b;
+    b.store("a");
+    b.front.take("t", pay, "", millis(1900), 0, {});
+    for (int no = 0; b.known("t"); b.pass(20), b.front.woke(0))
+        if (b.notes.count("launch") > no)
+            b.end("t", no++, *b.group.members[0], Ending::missed, Role::replica);
+    assert(b.notes.count("nack t") == 1 && b.notes.count("launch") < 4 && b.now < millis(1'001'900));
+}
+
 // A lone primary serves its group's reads.
 void groupOfOne() {
     Bench b;
@@ -97,6 +108,7 @@
     refusedWriteWaits();
     writesWaitForANewPrimary();
     emptyGroupIsAnsweredInTime();
+    longWithoutAPrimary();
     groupOfOne();
     repeatsAreToldByTheirPatience();
     varyingPatienceTellsNothing();
