Start a cold store's credit at a random phase, and at a front's part of one core

Now the first credit lies a random part of one launch below nought, a look earns two seconds' worth at most, and the floor is one core divided by the fronts.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -25,6 +25,7 @@
 
 Front::Front(const Charter& charter, std::uint64_t seed, Nanos now, Outlet& outlet)
     : out_(outlet), chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483647)), now_(now) {
+    chance_.discard(2);  // else seeds that lie close together begin alike
     lanes_ = charter.lanes;
     laneTime_.resize(lanes_.size());
     usualPatience_.resize(lanes_.size());
@@ -384,17 +385,25 @@
 }
 
 double Front::coldRate(const Store& store) const {
-    // Where nothing is known of warm stores, one launch of the first guess each half second.
-    return std::max(coldShare(store) * coldFactor_ * bearing_, firstGuess / 0.5e9);
+    // Where nothing is known of warm stores, this front's part of one core.
+    return coldShare(store) * coldFactor_ * std::max(bearing_, 1.0 / fronts_);
 }
 
+// A cold store's credit starts below nought by a random part of one launch, and grows by two seconds' worth a
+// look at most. It guards against many fronts, each of which may send less than one launch in the whole time,
+// sending their first ones together; it should also catch a crowd that turns to a cold store at once when
+// others fail. It may hurt where a front looks seldom: then it sends less than its share.
 bool Front::coldRoom(Store& store, double work) {
     if (coldShare(store) >= 1) return true;
     // A long transaction is a large part of a cold store's budget by itself.
     double mean = 0;
     for (std::size_t lane = 0; lane < lanes_.size(); ++lane) mean += workOf(lane) / double(lanes_.size());
     if (work > 2 * mean) return false;
-    const double earned = coldRate(store) * double(now_ - store.coldCreditAt);
+    if (store.coldCreditAt < store.started) {
+        store.coldCreditAt = now_;
+        store.coldCredit = -mean * double(chance_()) / double(std::minstd_rand::max());
+    }
+    const double earned = coldRate(store) * double(std::min(now_ - store.coldCreditAt, millis(2000)));
     store.coldCredit = std::min(work, store.coldCredit + earned);
     store.coldCreditAt = now_;
     return store.coldCredit > 0;
--- a/tests/bench.hpp
+++ b/tests/bench.hpp
@@ -69,7 +69,8 @@
     Group& group;
     std::vector<std::unique_ptr<Transaction>> loose;
 
-    explicit Bench(const Charter& c = charter()) : front(c, 7, now, notes), group(front.groups_[0]) {}
+    explicit Bench(const Charter& c = charter(), std::uint64_t seed = 7)
+        : front(c, seed, now, notes), group(front.groups_[0]) {}
 
     // A warm, idle store of group 0 whose position is the present.
     Store& store(const std::string& id, Pool pool = Pool::none) {
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -144,7 +144,9 @@
 
 // Rule 4: a cold store gets its share of what warm ones bear, long work none, and no burst.
 void coldStoreKeepsItsShare() {
-    Bench b;
+    Charter c = charter();
+    c.fronts = 10;
+    Bench b(c);
     Store& s = b.store("s");
     s.started = b.now;
     s.coldCreditAt = b.now;
@@ -162,6 +164,21 @@
     assert(!b.coldRoom(s, 10 * work));
 }
 
+// Two hundred fronts that know nothing yet send a cold store, together, no more than a core's share of it.
+void firstLaunchesAreSpread() {
+    Charter c = charter();
+    c.fronts = 200;
+    double sent = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        Bench b(c, seed);
+        Store& s = b.store("s");
+        s.started = b.now;
+        for (int i = 0; i < 3; ++i, b.pass(500))
+            if (b.coldRoom(s, 50e6)) s.coldCredit -= 50e6, sent += 50e6;
+    }
+    assert(sent > 0.1e9 && sent < c.coldFrom * 1.5e9 * c.fallMultiple);
+}
+
 int main() {
     unusualSilenceIsNoticed();
     silentStoreIsTried();
@@ -175,4 +192,5 @@
     spiltReadsLeaveRoom();
     slippingReplicaSheds();
     coldStoreKeepsItsShare();
+    firstLaunchesAreSpread();
 }
