Let a read wait for a probe under way before it burdens the primary

Cause: with hundreds of fronts each knows no position young enough, so most bounded and session reads fell on the primaries.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -458,7 +458,8 @@
         if ((own(s) || s->pool == Pool::mixed) && s->standing == Standing::up && wellEnough(*s) &&
             probeIsDue(*s) && (!wanted || ownLoad(s) < ownLoad(wanted)))
             wanted = s;
-    if (wanted && lanes_[transaction.lane].need != Need::any) probe(*wanted);
+    const bool asking = std::any_of(group.members.begin(), group.members.end(), [](auto* s) { return s->probing; });
+    if (wanted && !asking && lanes_[transaction.lane].need != Need::any) probe(*wanted);
 
     Store* ownLeast = least(own, ownLoad);
     if (ownLeast && ownLoad(ownLeast) < theta) return ownLeast;
@@ -510,6 +511,21 @@
     return lanes_[lane].need == Need::any && workOf(lane) > 4 * quickestWork();
 }
 
+// Departure: where a replica that may well be fresh enough has just been asked how fresh it is, a read waits for
+// the answer rather than burden the primary. A front with few reads knows no position young enough, and all such
+// fronts together would send most reads to the primaries. It should also hold where answers tell no positions.
+// It may hurt where the way is slow: so no longer than a tenth of the goal time.
+bool Front::awaitsReport(const Group& group, const Transaction& transaction) const {
+    const Lane& lane = lanes_[transaction.lane];
+    if (lane.need != Need::bounded && lane.need != Need::session) return false;
+    if (storesCheck_ || now_ - transaction.arrived > lane.goalTime / 10) return false;
+    const Nanos need = lane.need == Need::bounded ? now_ - lane.bound : transaction.mustSee;
+    return std::any_of(group.members.begin(), group.members.end(), [&](const Store* s) {
+        // When last told, it lagged by less than the need allows.
+        return s->probing && (s->position < 0 || now_ - (s->positionTold - s->position) > need);
+    });
+}
+
 Store* Front::pick(Group& group, const Transaction& transaction) {
     const Need need = lanes_[transaction.lane].need;
     if (need == Need::write) return pickForWrite(group, transaction);
@@ -517,6 +533,7 @@
         if (Store* laggard = pickForLong(group, transaction)) return laggard;
     if (need != Need::fresh)
         if (Store* replica = pickReplica(group, transaction)) return replica;
+    if (awaitsReport(group, transaction)) return nullptr;
     Store* primary = group.primary;
     if (storesCheck_ && need != Need::fresh) {
         // Stores that check for themselves: the least-behind replica, if it may catch up while it waits. One
@@ -784,9 +801,11 @@
     Store* store = find(id);
     if (!store) return;
     store->probing = false;
-    if (how == Ending::delivered) return hear(*store, false);
-    if (how == Ending::full || store->heard >= store->probedAt) return;
-    distrust(*store, true);
+    if (how == Ending::delivered)
+        hear(*store, false);
+    else if (how != Ending::full && store->heard < store->probedAt)
+        distrust(*store, true);
+    serveHeld(groups_[store->group], 4);
 }
 
 void Front::reported(const std::string& id, std::optional<Nanos> position, std::optional<bool> primary) {
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -224,6 +224,7 @@
     Store* pickReplica(Group& group, const Transaction& transaction);
     bool isLong(int lane);
     Store* pickForLong(Group& group, const Transaction& transaction);
+    bool awaitsReport(const Group& group, const Transaction& transaction) const;
     Store* pick(Group& group, const Transaction& transaction);
     // launch and outcome
     Nanos alreadyWaited(int lane, Nanos patience);
