Keep windows below one by a rate with two launches ahead, and a floor by the number of fronts

Cause: a front of hundreds paused half a second or more after each launch to a store, though launches that come together by chance are no crowd; and a shrunk window of a tenth grew to the floor of a quarter.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -422,9 +422,9 @@
         const double mine = lanes_[transaction.lane].gain / workOf(transaction.lane);
         window *= std::clamp(1.4 * mine / (mine + best), 0.5, 1.0);
     }
-    // A window below one is kept by pauses between single launches.
-    if (window < 1 && !store.out.empty()) return false;
-    if (window < 1 && double(now_ - store.lastLaunch) * window < workOf(transaction.lane)) return false;
+    // A window below one is kept by a rate: on the whole a launch each time that a launch of this window would
+    // take, and two ahead, as what comes by chance together is no crowd.
+    if (window < 1 && (store.out.size() >= 2 || store.paidUntil > now_)) return false;
     if (window >= 1 && double(store.out.size()) >= window) return false;
     return coldRoom(store, workOf(transaction.lane));
 }
@@ -613,7 +613,8 @@
     store.out.push_back({t.id, t.launches++, t.lane, now_, false});
     ++t.out;
     ++store.load[tierOf(lane)];
-    store.lastLaunch = now_;
+    const Nanos turn = static_cast<Nanos>(workOf(t.lane) / store.window);
+    store.paidUntil = std::max(store.paidUntil, now_ - 2 * turn) + turn;
     if (coldShare(store) < 1) store.coldCredit -= workOf(t.lane);
     if (store.suspectSince || store.awaySince) {
         store.trialPause = std::min(2 * store.trialPause, millis(2000));
@@ -689,7 +690,9 @@
         // Once per 50 ms: answers that were held up together are one sign.
         if (now_ - store.shrunk < millis(50)) return;
         store.shrunk = now_;
-        store.window = std::max(0.25, share * std::min(store.window, double(store.out.size()) + 1));
+        // All fronts together go on keeping out some launches, and each goes on learning.
+        const double least = std::min(0.25, 6.0 / fronts_);
+        store.window = std::max(least, share * std::min(store.window, double(store.out.size()) + 1));
     };
     if (how == Ending::full) shrink(0.7);
     // A store that turns work away at once looks idle, and would draw ever more; one that lets work lapse
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -136,7 +136,8 @@
     DecayingSum borne;  // work done for this front
     double window = 0;  // launches this front keeps out here at most
     Nanos shrunk = 0;
-    Nanos suspectSince = 0, awaySince = 0, nextTrial = 0, trialPause = 0, lastLaunch = 0;
+    Nanos suspectSince = 0, awaySince = 0, nextTrial = 0, trialPause = 0;
+    Nanos paidUntil = 0;  // launches are paid for, at the rate that a small window allows, up to this time
     int fruitless = 0;  // launches in a row
     Nanos restsUntil = 0;
     double coldCredit = 0;
