--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -691,7 +691,7 @@
         if (now_ - store.shrunk < millis(50)) return;
         store.shrunk = now_;
         // All fronts together go on keeping out some launches, and each goes on learning.
-        const double least = std::min(0.25, 24.0 / fronts_);
+        const double least = std::min(0.25, 2.0 / fronts_);
         store.window = std::max(least, share * std::min(store.window, double(store.out.size()) + 1));
     };
     if (how == Ending::full) shrink(0.7);
@@ -723,7 +723,7 @@
     if (slipping || late)
         shrink(0.85);
     else if (double(store.out.size()) + 1 >= 0.75 * store.window)
-        store.window += step_ / std::max(3.0 / fronts_, store.window) + 0.02 * store.window;
+        store.window += step_ / std::max(3.0 / fronts_, store.window) + (store.window < 1 ? 0.08 : 0.02) * store.window;
 }
 
 void Front::hold(Transaction& t) {
