--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -422,8 +422,9 @@
         const double mine = lanes_[transaction.lane].gain / workOf(transaction.lane);
         window *= std::clamp(1.4 * mine / (mine + best), 0.5, 1.0);
     }
-    // A window below one is kept by a rate: on the whole a launch each time that a launch of this window would
-    // take, and two ahead, as what comes by chance together is no crowd.
+    // A window below one is kept by payment: each launch pays the time that it is out, divided by the window, and
+    // one may run ahead, as two that come together by chance are no crowd. So all fronts together keep out what
+    // they would with one window, however slow the answers.
     if (window < 1 && (store.out.size() >= 2 || store.paidUntil > now_)) return false;
     if (window >= 1 && double(store.out.size()) >= window) return false;
     return coldRoom(store, workOf(transaction.lane));
@@ -614,7 +615,7 @@
     ++t.out;
     ++store.load[tierOf(lane)];
     const Nanos turn = static_cast<Nanos>(workOf(t.lane) / store.window);
-    store.paidUntil = std::max(store.paidUntil, now_ - 2 * turn) + turn;
+    store.paidUntil = std::max(store.paidUntil, now_ - turn) + turn;
     if (coldShare(store) < 1) store.coldCredit -= workOf(t.lane);
     if (store.suspectSince || store.awaySince) {
         store.trialPause = std::min(2 * store.trialPause, millis(2000));
@@ -683,6 +684,9 @@
 // What a launch's ending says of its store.
 void Front::settleAccount(Store& store, const Launch& launch, Ending how, Nanos delay) {
     const Lane& lane = lanes_[launch.lane];
+    // What it was out beyond the usual time that it has paid for is paid now; five seconds ahead at most.
+    const double beyond = (double(delay) - workOf(launch.lane)) / store.window;
+    store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond), now_ + healthMemory);
     if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
     // A broken connection may be the store's end or only the connection's: a probe tells soon.
     if (how == Ending::broken) probe(store);
