--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -174,13 +174,15 @@
 }
 
 void Front::seekPrimary(Group& group) {
-    // Five looks a second: a switch takes seconds, and a look costs each member a probe.
-    if (!probeTellsRole_ || now_ - group.soughtAt < millis(200)) return;
+    // Five looks a second: a switch takes seconds, and a look costs each member a probe. Of many fronts all
+    // together make some 300 a second.
+    if (!probeTellsRole_ || now_ - group.soughtAt < std::max(millis(200), fronts_ * millis(3))) return;
     group.soughtAt = now_;
     for (Store* store : group.members) probe(*store);
 }
 
 Store* Front::pickForWrite(Group& group, const Transaction& transaction) {
+    if (!group.primary || !wellEnough(*group.primary)) seekPrimary(group);
     if (group.primary) {
         if (!wellEnough(*group.primary)) return nullptr;
         return hasRoom(*group.primary, transaction) ? group.primary : nullptr;
@@ -457,7 +459,7 @@
     Store* wanted = nullptr;
     for (Store* s : group.members)
         if ((own(s) || s->pool == Pool::mixed) && s->standing == Standing::up && wellEnough(*s) &&
-            probeIsDue(*s) && (!wanted || ownLoad(s) < ownLoad(wanted)))
+            probeIsDue(*s) && hasRoom(*s, transaction) && (!wanted || ownLoad(s) < ownLoad(wanted)))
             wanted = s;
     const bool asking = std::any_of(group.members.begin(), group.members.end(), [](auto* s) { return s->probing; });
     if (wanted && !asking && lanes_[transaction.lane].need != Need::any) probe(*wanted);
@@ -536,6 +538,7 @@
         if (Store* replica = pickReplica(group, transaction)) return replica;
     if (awaitsReport(group, transaction)) return nullptr;
     Store* primary = group.primary;
+    if (!primary || !wellEnough(*primary)) seekPrimary(group);
     if (storesCheck_ && need != Need::fresh) {
         // Stores that check for themselves: the least-behind replica, if it may catch up while it waits. One
         // that lags too far for that would only hold the transaction up.
@@ -833,7 +836,8 @@
         judgeSilence(*store);
         if (store->awaySince && now_ >= store->nextTrial) {
             if (store->trialPause == firstTrial) out_.log("store " + store->id + " is out of reach");
-            store->trialPause = std::min(2 * store->trialPause, millis(1000));
+            // Each front of many asks that much more seldom; the list tells of most returns sooner.
+            store->trialPause = std::min(2 * store->trialPause, std::max(millis(1000), fronts_ * millis(20)));
             store->nextTrial = now_ + store->trialPause;
             probe(*store);
         }
@@ -845,7 +849,6 @@
     if (warm > 0) bearing_ = borne / warm;
     for (auto& [no, group] : groups_) {
         if (group.redeal) deal(group);
-        if (!group.primary || group.primary->suspectSince || group.primary->awaySince) seekPrimary(group);
         serveHeld(group, group.held.size());
     }
 }
