--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -442,11 +442,15 @@
         return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
                freshEnough(*s, transaction) && hasRoom(*s, transaction);
     };
-    // The least by (load, other zone, id), of the members that a condition admits.
+    // The least by (load, other zone, place), of the members that a condition admits. Places count from the
+    // front's number on, as pools are dealt: fronts with few reads find all loads alike, and would else all
+    // go to the first.
     auto least = [&](auto admits, auto load) {
         Store* best = nullptr;
         std::pair<int, bool> bestKey;
-        for (Store* s : group.members) {
+        const std::size_t n = group.members.size();
+        for (std::size_t i = 0; i < n; ++i) {
+            Store* s = group.members[(i + static_cast<std::size_t>(front_)) % n];
             if (!admits(s) || !usable(s)) continue;
             const std::pair<int, bool> key{load(s), s->zone != zone_};
             if (!best || key < bestKey) best = s, bestKey = key;
