--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -307,12 +307,12 @@
 // The first trial of a doubtful store comes soon, since most troubles of a store are short; each later one
 // after twice the pause.
 constexpr Nanos firstTrial = millis(250);
-// Before a lane or a store has been seen, an answer is expected within this.
-constexpr double firstGuess = 100e6;
 }  // namespace
 
 double Front::workOf(int lane) {
-    return laneTime_[lane].read(now_, laneMemory, firstGuess);
+    // Before answers tell, a quarter of the goal time: operators set goals at some times the usual work. A front
+    // that has few transactions goes by this for long, and must not take long work for silence meanwhile.
+    return laneTime_[lane].read(now_, laneMemory, double(lanes_[lane].goalTime) / 4);
 }
 
 double Front::quickestWork() {
@@ -372,7 +372,7 @@
     const double silence = double(now_ - std::max(since, store.heard));
     // Gaps are about exponential: one of 8 means is seen once in 3000. The further 100 ms forgive the
     // short stalls that every store has.
-    if (silence > 8 * store.gaps.read(now_, healthMemory, firstGuess / 2) + 100e6) distrust(store, false);
+    if (silence > 8 * store.gaps.read(now_, healthMemory, quickest / 2) + 100e6) distrust(store, false);
 }
 
 bool Front::wellEnough(const Store& store) const {
@@ -495,22 +495,16 @@
     return least([](Store*) { return true; }, [](Store* s) { return s->load[0] + s->load[1]; });
 }
 
-// Departure: a long transaction that needs no fresh data goes to the replica that lags most. It stops the
-// application of the log where it runs; spread over the pools it would make every replica unfit for bounded
-// and session reads, so that all of these fall on the primary. It needs no agreement: whichever replica
-// takes the first falls behind and is then chosen by all fronts. It should also keep long work off good
-// replicas when the log is slow or cut off for other reasons. It may hurt where long work is most of the
-// load.
+// Departure: a long transaction that needs no fresh data goes to the first replica by id that will do. It stops
+// the application of the log where it runs; spread over the pools it would make every replica unfit for bounded
+// and session reads, so that all of these fall on the primary. It needs no agreement: all fronts know the same
+// ids, and few of them know who lags most. It should also keep long work off good replicas when the log is slow
+// or cut off for other reasons. It may hurt where long work is most of the load, or lists differ.
 Store* Front::pickForLong(Group& group, const Transaction& transaction) {
-    Store* best = nullptr;
-    for (Store* s : group.members) {
-        if (s->standing != Standing::up || s == group.primary || !wellEnough(*s)) continue;
-        if (!hasRoom(*s, transaction)) continue;
-        // Lags up to half the bound are alike; then the first by id, so that fronts agree from the start.
-        auto lag = [&](const Store* m) { return std::max(m->positionTold - m->position, probeAge_); };
-        if (!best || lag(s) > lag(best)) best = s;
-    }
-    return best;
+    for (Store* s : group.members)
+        if (s->standing == Standing::up && s != group.primary && wellEnough(*s) && hasRoom(*s, transaction))
+            return s;
+    return nullptr;
 }
 
 bool Front::isLong(int lane) {
