--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -9,6 +9,7 @@
 // outcome, rule guards. docs/design.md tells which parts come from the paper.
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "front.hpp"
 
@@ -138,6 +139,7 @@
 void Front::standDown(Store& store, Standing standing) {
     if (standing == Standing::removed && onlyDrainingBinds_ && store.standing == Standing::up) return;
     store.standing = standing;
+    watch(store);
     Group& group = groups_[store.group];
     group.redeal = true;
     if (group.primary == &store && standing != Standing::up) setPrimary(group, nullptr);
@@ -343,6 +345,7 @@
     Nanos& since = away ? store.awaySince : store.suspectSince;
     if (since) return;
     since = now_;
+    watch(store);
     store.trialPause = firstTrial;
     store.nextTrial = now_ + store.trialPause;
     if (!away) out_.log("store " + store.id + " is silent");
@@ -619,6 +622,7 @@
     if (!mayLaunch(t, store)) return finish(t);
     const Lane& lane = lanes_[t.lane];
     store.out.push_back({t.id, t.launches++, t.lane, now_, false});
+    watch(store);
     ++t.out;
     ++store.load[tierOf(lane)];
     const Nanos turn = static_cast<Nanos>(workOf(t.lane) / store.window);
@@ -745,6 +749,7 @@
         return x != y ? x > y : a->arrived < b->arrived;
     };
     auto& held = t.group->held;
+    if (!std::exchange(t.group->waiting, true)) waiting_.push_back(t.group);
     held.insert(std::upper_bound(held.begin(), held.end(), &t, before), &t);
 }
 
@@ -829,14 +834,16 @@
     if (primary && position) tellRole(*store, *primary ? Role::primary : Role::replica, *position, false);
 }
 
-// The front's own clockwork, every 20 ms: a small part of any goal time.
+// The front's own clockwork, every 20 ms: a small part of any goal time. It looks at what may need it alone, as a
+// front may know hundreds of stores and use few of them at a time.
 void Front::round() {
     out_.wake(now_ + millis(20), 0);
     tendList();
-    double borne = 0;
-    int warm = 0;
-    for (auto& [id, store] : stores_) {
-        if (store->standing != Standing::up) continue;
+    std::erase_if(watched_, [](Store* s) {
+        s->watched = s->standing == Standing::up && (!s->out.empty() || s->awaySince);
+        return !s->watched;
+    });
+    for (Store* store : watched_) {
         judgeSilence(*store);
         if (store->awaySince && now_ >= store->nextTrial) {
             if (store->trialPause == firstTrial) out_.log("store " + store->id + " is out of reach");
@@ -845,16 +852,32 @@
             store->nextTrial = now_ + store->trialPause;
             probe(*store);
         }
-        if (coldShare(*store) < 1 || store->awaySince || store->suspectSince) continue;
+    }
+    if (now_ >= weighAt_) weighWarmStores();
+    for (Group* group : std::exchange(waiting_, {})) {
+        group->waiting = false;  // until one of its transactions is held again
+        serveHeld(*group, group->held.size());
+    }
+}
+
+void Front::weighWarmStores() {
+    // Once a second: what is weighed is remembered for some seconds.
+    weighAt_ = now_ + millis(1000);
+    double borne = 0;
+    int warm = 0;
+    for (auto& [id, store] : stores_) {
+        if (store->standing != Standing::up || coldShare(*store) < 1 || store->awaySince || store->suspectSince)
+            continue;
         // A decaying sum of halves holds 1/ln 2 half-lives' worth.
         borne += store->borne.read(now_, healthMemory) * 0.693 / double(healthMemory);
         ++warm;
     }
     if (warm > 0) bearing_ = borne / warm;
-    for (auto& [no, group] : groups_) {
-        if (group.redeal) deal(group);
-        serveHeld(group, group.held.size());
-    }
+}
+
+// Has the round look at a store until it is quiet again.
+void Front::watch(Store& store) {
+    if (!std::exchange(store.watched, true)) watched_.push_back(&store);
 }
 
 void Front::woke(std::int64_t) {
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -130,6 +130,7 @@
     Pool pool = Pool::none, lender = Pool::none;  // a lender is named while the replica is borrowed
     int load[2] = {0, 0};                         // reads in flight by tier
     std::vector<Launch> out;
+    bool watched = false;
 
     Nanos heard = 0;
     RecentMean gaps, late;
@@ -150,6 +151,7 @@
     int target[2] = {0, 0};
     bool redeal = true;
     std::vector<Transaction*> held;
+    bool waiting = false;
     Nanos soughtAt = 0;
 };
 
@@ -240,6 +242,8 @@
     void forget(Transaction& transaction);
     void probe(Store& store);
     void round();
+    void weighWarmStores();
+    void watch(Store& store);
     // rule guards
     bool mayLaunch(const Transaction& transaction, const Store& store) const;
     bool mayNack(const Transaction& transaction) const;
@@ -262,8 +266,9 @@
     std::unordered_map<std::string, std::unique_ptr<Transaction>> transactions_;
     std::unordered_map<std::string, Nanos> marks_, olderMarks_;
     Nanos markFloor_ = 0;
-    std::vector<Store*> unseen_;
-    Nanos askAt_ = 0;
+    std::vector<Store*> unseen_, watched_;
+    std::vector<Group*> waiting_;  // those that hold transactions
+    Nanos askAt_ = 0, weighAt_ = 0;
     double bearing_ = 0;  // work a second that a warm store does for this front
 };
 
