--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -695,9 +695,11 @@
 // What a launch's ending says of its store.
 void Front::settleAccount(Store& store, const Launch& launch, Ending how, Nanos delay) {
     const Lane& lane = lanes_[launch.lane];
-    // What it was out beyond the usual time that it has paid for is paid now; five seconds ahead at most.
+    // What it was out beyond the usual time that it has paid for is paid now, five seconds ahead at most. Only
+    // what was worked on or missed sooner is paid back: a store that turns launches away fast would cost nothing else.
     const double beyond = (double(delay) - workOf(launch.lane)) / store.window;
-    store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond), now_ + healthMemory);
+    if (beyond > 0 || how == Ending::delivered || how == Ending::missed)
+        store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond), now_ + healthMemory);
     if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
     // A broken connection may be the store's end or only the connection's: a probe tells soon.
     if (how == Ending::broken) probe(store);
