--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -9,6 +9,7 @@
 // outcome, rule guards. docs/design.md tells which parts come from the paper.
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include "front.hpp"
@@ -277,12 +278,13 @@
     }
 }
 
-// Whether a replica that applies the log as fast as it comes would meet the need by the end of its wait.
+// Whether a replica that applies the log as fast as it comes would meet the need by the end of its wait. One
+// that was never asked may: what does not hold, the store itself says.
 bool Front::mayCatchUp(const Store& store, const Transaction& transaction) const {
     const Lane& lane = lanes_[transaction.lane];
     const Nanos lag = store.positionTold - store.position;
     const Nanos need = lane.need == Need::bounded ? now_ - lane.bound : transaction.mustSee;
-    return store.position >= 0 && now_ + catchUpWait_ - lag >= need;
+    return store.position < 0 || now_ + catchUpWait_ - lag >= need;
 }
 
 bool Front::mayReadPrimary(const Store& store) const {
@@ -437,6 +439,21 @@
 
 // ---- pick -----------------------------------------------------------------------------------------
 
+namespace {
+// The member with the least key of those that a condition admits. Of equals the first counted from the front's
+// number on, as pools are dealt: fronts with few reads find all loads alike, and would else flock to one.
+template <class Admits, class Key>
+Store* leastOf(const Group& group, int front, Admits admits, Key key) {
+    Store* best = nullptr;
+    const std::size_t n = group.members.size();
+    for (std::size_t i = 0; i < n; ++i) {
+        Store* s = group.members[(i + static_cast<std::size_t>(front)) % n];
+        if (admits(s) && (!best || key(s) < key(best))) best = s;
+    }
+    return best;
+}
+}  // namespace
+
 Store* Front::pickReplica(Group& group, const Transaction& transaction) {
     const int tier = tierOf(lanes_[transaction.lane]);
     if (group.redeal) deal(group);
@@ -445,20 +462,10 @@
         return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
                freshEnough(*s, transaction) && hasRoom(*s, transaction);
     };
-    // The least by (load, other zone, place), of the members that a condition admits. Places count from the
-    // front's number on, as pools are dealt: fronts with few reads find all loads alike, and would else all
-    // go to the first.
     auto least = [&](auto admits, auto load) {
-        Store* best = nullptr;
-        std::pair<int, bool> bestKey;
-        const std::size_t n = group.members.size();
-        for (std::size_t i = 0; i < n; ++i) {
-            Store* s = group.members[(i + static_cast<std::size_t>(front_)) % n];
-            if (!admits(s) || !usable(s)) continue;
-            const std::pair<int, bool> key{load(s), s->zone != zone_};
-            if (!best || key < bestKey) best = s, bestKey = key;
-        }
-        return best;
+        return leastOf(
+            group, front_, [&](Store* s) { return admits(s) && usable(s); },
+            [&](Store* s) { return std::pair{load(s), s->zone != zone_}; });
     };
     auto own = [&](Store* s) { return s->pool == poolOf(tier); };
     auto ownLoad = [&](Store* s) { return poolLoad(*s, tier); };
@@ -548,12 +555,17 @@
     if (!primary || !wellEnough(*primary)) seekPrimary(group);
     if (storesCheck_ && need != Need::fresh) {
         // Stores that check for themselves: the least-behind replica, if it may catch up while it waits. One
-        // that lags too far for that would only hold the transaction up.
-        Store* best = nullptr;
-        for (Store* s : group.members)
-            if (s->standing == Standing::up && s != primary && wellEnough(*s) && hasRoom(*s, transaction) &&
-                mayCatchUp(*s, transaction) && (!best || s->position > best->position))
-                best = s;
+        // that lags too far for that would only hold the transaction up. Lags within the bound are alike.
+        Store* best = leastOf(
+            group, front_,
+            [&](Store* s) {
+                return s->standing == Standing::up && s != primary && wellEnough(*s) &&
+                       mayCatchUp(*s, transaction) && hasRoom(*s, transaction);
+            },
+            [&](Store* s) {
+                const Nanos lag = s->position < 0 ? 0 : (s->positionTold - s->position) / (2 * probeAge_);
+                return std::tuple{lag, s->load[0] + s->load[1], s->zone != zone_};
+            });
         if (best && transaction.launches + 1 < launchLimit_) return best;
     }
     if (primary && mayReadPrimary(*primary) && wellEnough(*primary) && hasRoom(*primary, transaction))
