--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -454,6 +454,12 @@
 }
 }  // namespace
 
+// Whether a store gives way to one in this front's zone. Not where its window is below one launch: this front's
+// loads then say nothing, so nothing would hold a zone's fronts back from one store.
+bool Front::zoneCounts(const Store& store) const {
+    return store.window >= 1 && store.zone != zone_;
+}
+
 Store* Front::pickReplica(Group& group, const Transaction& transaction) {
     const int tier = tierOf(lanes_[transaction.lane]);
     if (group.redeal) deal(group);
@@ -465,7 +471,7 @@
     auto least = [&](auto admits, auto load) {
         return leastOf(
             group, front_, [&](Store* s) { return admits(s) && usable(s); },
-            [&](Store* s) { return std::pair{load(s), s->zone != zone_}; });
+            [&](Store* s) { return std::pair{load(s), zoneCounts(*s)}; });
     };
     auto own = [&](Store* s) { return s->pool == poolOf(tier); };
     auto ownLoad = [&](Store* s) { return poolLoad(*s, tier); };
@@ -564,7 +570,7 @@
             },
             [&](Store* s) {
                 const Nanos lag = s->position < 0 ? 0 : (s->positionTold - s->position) / (2 * probeAge_);
-                return std::tuple{lag, s->load[0] + s->load[1], s->zone != zone_};
+                return std::tuple{lag, s->load[0] + s->load[1], zoneCounts(*s)};
             });
         if (best && transaction.launches + 1 < launchLimit_) return best;
     }
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -224,6 +224,7 @@
     double quickestWork();
     bool hasRoom(Store& store, const Transaction& transaction);
     // pick
+    bool zoneCounts(const Store& store) const;
     Store* pickReplica(Group& group, const Transaction& transaction);
     bool isLong(int lane);
     Store* pickForLong(Group& group, const Transaction& transaction);
