--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -481,8 +481,7 @@
         if ((own(s) || s->pool == Pool::mixed) && s->standing == Standing::up && wellEnough(*s) &&
             probeIsDue(*s) && hasRoom(*s, transaction) && (!wanted || ownLoad(s) < ownLoad(wanted)))
             wanted = s;
-    const bool asking = std::any_of(group.members.begin(), group.members.end(), [](auto* s) { return s->probing; });
-    if (wanted && !asking && lanes_[transaction.lane].need != Need::any) probe(*wanted);
+    if (wanted && lanes_[transaction.lane].need != Need::any) probe(*wanted);
 
     Store* ownLeast = least(own, ownLoad);
     if (ownLeast && ownLoad(ownLeast) < theta) return ownLeast;
