--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -481,7 +481,10 @@
         if ((own(s) || s->pool == Pool::mixed) && s->standing == Standing::up && wellEnough(*s) &&
             probeIsDue(*s) && hasRoom(*s, transaction) && (!wanted || ownLoad(s) < ownLoad(wanted)))
             wanted = s;
-    if (wanted && lanes_[transaction.lane].need != Need::any) probe(*wanted);
+    // Where stores check, one that may well be fresh enough is not asked: its answer to the read tells.
+    if (wanted && lanes_[transaction.lane].need != Need::any &&
+        !(storesCheck_ && mayCatchUp(*wanted, transaction)))
+        probe(*wanted);
 
     Store* ownLeast = least(own, ownLoad);
     if (ownLeast && ownLoad(ownLeast) < theta) return ownLeast;
