--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -108,7 +108,7 @@
         slot->started = started;
         // What all fronts together keep out at a store before they have seen it work: about what a store of
         // a few cores answers well within most goal times.
-        slot->window = 9.0 / fronts_;
+        slot->window = 24.0 / fronts_;
         group.members.push_back(slot.get());
         std::sort(group.members.begin(), group.members.end(), [](auto* a, auto* b) { return a->id < b->id; });
         group.redeal = true;
@@ -750,7 +750,7 @@
     if (how != Ending::delivered) return;
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
     store.borne.add(now_, healthMemory, workOf(launch.lane));
-    // The window grows with answers in good time, and shrinks when one comes near its goal time: waiting
+    // The window grows with answers in good time where it binds, and shrinks when one comes near its goal time: waiting
     // then is better done here, where the highest gain goes first. The fiftieth lets a front that has most
     // of a group's traffic outgrow its share.
     // A replica that slips from half the bound to twice it gets less, too: it is crowded, and applies the log
@@ -759,7 +759,7 @@
     const bool slipping = lag > probeAge_ && lag < 4 * probeAge_ && !isLong(launch.lane);
     if (slipping || late)
         shrink(0.85);
-    else if (double(store.out.size()) + 1 >= 0.75 * store.window)
+    else if (store.window < 1 ? store.paidUntil > now_ : double(store.out.size()) + 1 >= 0.75 * store.window)
         store.window += step_ / std::max(3.0 / fronts_, store.window) + (store.window < 1 ? 0.08 : 0.02) * store.window;
 }
 
