--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -331,7 +331,7 @@
         Nanos since = store.heard;
         if (!store.out.empty()) since = std::max(since, store.out.front().sent);
         if (store.heard > 0) store.gaps.add(now_, healthMemory, double(now_ - since));
-        store.heard = now_;
+        store.heard = ways_[store.zone].heard = now_;
         if (store.suspectSince) out_.log("store " + store.id + " answers again");
         store.suspectSince = 0;
     }
@@ -380,6 +380,16 @@
     if (silence > 8 * store.gaps.read(now_, healthMemory, quickest / 2) + 100e6) distrust(store, false);
 }
 
+// Whether the way to another zone, not the stores there, makes answers late: most from there are, and at least twice
+// as many as from the own zone. What all stores of a zone show is known to a front that has few transactions
+// when it knows next to nothing of each. It guards against links that slow or lose what is sent, and should catch
+// cut ones; it may hurt where all stores of a zone are crowded.
+bool Front::slowWay(const Store& store) {
+    if (store.zone == zone_) return false;
+    const double there = ways_[store.zone].late.read(now_, healthMemory, 0);
+    return there > 0.5 && there > 2 * ways_[zone_].late.read(now_, healthMemory, 0);
+}
+
 bool Front::wellEnough(const Store& store) const {
     if (store.awaySince && mayProbe_) return false;  // the probes of round() find out
     if (now_ < store.restsUntil) return false;
@@ -464,9 +474,10 @@
     const int tier = tierOf(lanes_[transaction.lane]);
     if (group.redeal) deal(group);
     giveBack(group, tier);
+    bool anyWay = false;
     auto usable = [&](Store* s) {
         return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
-               freshEnough(*s, transaction) && hasRoom(*s, transaction);
+               freshEnough(*s, transaction) && (anyWay || !slowWay(*s)) && hasRoom(*s, transaction);
     };
     auto least = [&](auto admits, auto load) {
         return leastOf(
@@ -479,7 +490,7 @@
     Store* wanted = nullptr;
     for (Store* s : group.members)
         if ((own(s) || s->pool == Pool::mixed) && s->standing == Standing::up && wellEnough(*s) &&
-            probeIsDue(*s) && hasRoom(*s, transaction) && (!wanted || ownLoad(s) < ownLoad(wanted)))
+            probeIsDue(*s) && !slowWay(*s) && hasRoom(*s, transaction) && (!wanted || ownLoad(s) < ownLoad(wanted)))
             wanted = s;
     // Where stores check, one that may well be fresh enough is not asked: its answer to the read tells.
     if (wanted && lanes_[transaction.lane].need != Need::any &&
@@ -508,6 +519,7 @@
         if (Store* s = least(empty, [](Store* m) { return m->load[1]; })) return borrow(s);
     }
     if (ownLeast) return ownLeast;
+    anyWay = true;
     // Departure: no own replica will do. A replica of the other tier that will do is used, without being
     // borrowed, before the primary is burdened.
     return least([](Store*) { return true; }, [](Store* s) { return s->load[0] + s->load[1]; });
@@ -572,7 +584,7 @@
             },
             [&](Store* s) {
                 const Nanos lag = s->position < 0 ? 0 : (s->positionTold - s->position) / (2 * probeAge_);
-                return std::tuple{lag, s->load[0] + s->load[1], zoneCounts(*s)};
+                return std::tuple{slowWay(*s), lag, s->load[0] + s->load[1], zoneCounts(*s)};
             });
         if (best && transaction.launches + 1 < launchLimit_) return best;
     }
@@ -718,7 +730,8 @@
     // What it was out beyond the usual time that it has paid for is paid now, five seconds ahead at most. Only
     // what was worked on or missed sooner is paid back: a store that turns launches away fast would cost nothing else.
     const double beyond = (double(delay) - workOf(launch.lane)) / store.window;
-    if (beyond > 0 || how == Ending::delivered || how == Ending::missed)
+    const bool farOff = slowWay(store);
+    if ((beyond > 0 && !farOff) || how == Ending::delivered || how == Ending::missed)
         store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond), now_ + healthMemory);
     if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
     // A broken connection may be the store's end or only the connection's: a probe tells soon.
@@ -744,6 +757,8 @@
     if (how == Ending::delivered) store.fruitless = 0;
     const bool late = double(delay) > 0.6 * double(lane.goalTime);
     if (how == Ending::delivered) store.late.add(now_, healthMemory, late ? 1 : 0);
+    if (how == Ending::delivered || how == Ending::timedOut)
+        ways_[store.zone].late.add(now_, healthMemory, late || how == Ending::timedOut ? 1 : 0);
     // A client that would not wait longer is a sign of too long a queue where answers come late, too. Where
     // they don't, the store or the way to it loses launches, and fewer of them would change nothing.
     if (how == Ending::timedOut && store.late.read(now_, healthMemory, 1) > 0.1) shrink(0.85);
@@ -757,7 +772,7 @@
     // too slowly to serve bounded reads soon. Further behind it is a lost cause, and may as well work.
     const Nanos lag = store.positionTold - store.position;
     const bool slipping = lag > probeAge_ && lag < 4 * probeAge_ && !isLong(launch.lane);
-    if (slipping || late)
+    if (slipping || (late && !farOff))
         shrink(0.85);
     else if (store.window < 1 ? store.paidUntil > now_ : double(store.out.size()) + 1 >= 0.75 * store.window)
         store.window += step_ / std::max(3.0 / fronts_, store.window) + (store.window < 1 ? 0.08 : 0.02) * store.window;
@@ -842,9 +857,12 @@
     Store* store = find(id);
     if (!store) return;
     store->probing = false;
+    // A probe's time is short. Where work from the store's zone was answered lately it says nothing that it ran
+    // out: the way is slow, or loses messages. Three seconds give a front with few transactions some answers.
+    const bool slow = how == Ending::timedOut && now_ - ways_[store->zone].heard < millis(3000);
     if (how == Ending::delivered)
         hear(*store, false);
-    else if (how != Ending::full && store->heard < store->probedAt)
+    else if (how != Ending::full && store->heard < store->probedAt && !slow)
         distrust(*store, true);
     serveHeld(groups_[store->group], 4);
 }
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -145,6 +145,12 @@
     Nanos coldCreditAt = 0;
 };
 
+// What the stores of a zone together show of the way to it.
+struct Way {
+    RecentMean late;
+    Nanos heard = 0;
+};
+
 struct Group {
     std::vector<Store*> members;  // in the order of their ids
     Store* primary = nullptr;
@@ -216,6 +222,7 @@
     void distrust(Store& store, bool away);
     void recall(Store& store);
     void judgeSilence(Store& store);
+    bool slowWay(const Store& store);
     bool wellEnough(const Store& store) const;
     double coldShare(const Store& store) const;
     double coldRate(const Store& store) const;
@@ -264,6 +271,7 @@
 
     std::map<std::string, std::unique_ptr<Store>> stores_;
     std::map<int, Group> groups_;
+    std::map<int, Way> ways_;  // by zone
     std::unordered_map<std::string, std::unique_ptr<Transaction>> transactions_;
     std::unordered_map<std::string, Nanos> marks_, olderMarks_;
     Nanos markFloor_ = 0;
