--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -108,7 +108,7 @@
         slot->started = started;
         // What all fronts together keep out at a store before they have seen it work: about what a store of
         // a few cores answers well within most goal times.
-        slot->window = 14.0 / fronts_;
+        slot->window = 24.0 / fronts_;
         group.members.push_back(slot.get());
         std::sort(group.members.begin(), group.members.end(), [](auto* a, auto* b) { return a->id < b->id; });
         group.redeal = true;
