--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -440,7 +440,7 @@
         window *= std::clamp(1.4 * mine / (mine + best), 0.5, 1.0);
     }
     // A window below one is kept by payment: each launch pays the time that it is out, divided by the window, and
-    // one may run ahead, as two that come together by chance are no crowd. So all fronts together keep out what
+    // two may run ahead: a write and the reads that follow it come together. So all fronts together keep out what
     // they would with one window, however slow the answers.
     if (window < 1 && (store.out.size() >= 2 || store.paidUntil > now_)) return false;
     if (window >= 1 && double(store.out.size()) >= window) return false;
@@ -658,7 +658,7 @@
     ++t.out;
     ++store.load[tierOf(lane)];
     const Nanos turn = static_cast<Nanos>(workOf(t.lane) / store.window);
-    store.paidUntil = std::max(store.paidUntil, now_ - turn) + turn;
+    store.paidUntil = std::max(store.paidUntil, now_ - 2 * turn) + turn;
     if (coldShare(store) < 1) store.coldCredit -= workOf(t.lane);
     if (store.suspectSince || store.awaySince) {
         store.trialPause = std::min(2 * store.trialPause, millis(2000));
