--- a/tests/bench.hpp
+++ b/tests/bench.hpp
@@ -125,6 +125,7 @@
     bool hasRoom(Store& s, const Transaction& t) { return front.hasRoom(s, t); }
     bool coldRoom(Store& s, double work) { return front.coldRoom(s, work); }
     void setBearing(double work) { front.bearing_ = work; }
+    void heardFrom(int zone) { front.ways_[zone].heard = now; }
     void settle(Store& s, Ending how, Nanos delay) {
         front.settleAccount(s, {"x", 0, look, now, false}, how, delay);
     }
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -110,6 +110,35 @@
     assert(b.launchedTo("v", "s"));
 }
 
+// A front with few reads knows no position young enough: it asks, and waits a little before it burdens the primary.
+void quietReadWaitsForItsProbe() {
+    Bench b;
+    Store& p = b.primary("p");
+    Store& s = b.store("s", Pool::premium);
+    b.pass(5000);
+    const Transaction& t = b.transaction(look);
+    assert(b.pick(t) == nullptr && b.notes.count("probe s") == 1);
+    b.front.reported("s", b.now - millis(100), {});
+    assert(b.pick(t) == &s);
+    b.pass(5000);
+    const Transaction& later = b.transaction(look, "later");
+    assert(b.pick(later) == nullptr);
+    b.pass(41);
+    assert(b.pick(later) == &p);
+    s.probing = false;
+}
+
+// Where stores check, a replica that was never asked is read, not asked; the store itself says what does not hold.
+void unknownReplicaIsTriedWhereStoresCheck() {
+    Charter c = charter();
+    c.storesCheck = true;
+    Bench b(c);
+    b.primary("p");
+    Store& s = b.store("s", Pool::premium);
+    s.position = -1;
+    assert(b.pick(b.transaction(look)) == &s && b.notes.count("probe") == 0);
+}
+
 int main() {
     boundedReadWantsTheBound();
     sessionReadWantsItsToken();
@@ -119,4 +148,6 @@
     probesWhenDue();
     longReadsGoToTheLaggard();
     keepsTheMarksOfSessions();
+    quietReadWaitsForItsProbe();
+    unknownReplicaIsTriedWhereStoresCheck();
 }
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -188,6 +188,49 @@
     assert(sent > 0.1e9 && sent < c.coldFrom * 1.5e9 * c.fallMultiple);
 }
 
+// Long work is known as long before any has been answered: its silence is none.
+void longWorkIsNoSilence() {
+    Bench b;
+    Store& s = b.store("s");
+    s.out.push_back({"x", 0, report, b.now, false});
+    b.pass(1500);
+    b.judgeSilence(s);
+    assert(!s.suspectSince);
+}
+
+// A slow way: probes run out though work is answered late. The stores are not out of reach, keep their windows, and
+// reads go to nearer ones.
+void slowWayIsNotTheStore() {
+    Bench b;
+    Store& far = b.store("a", Pool::premium);
+    Store& near = b.store("b", Pool::freemium);
+    far.zone = 1;
+    for (int i = 0; i < 5; ++i) b.settle(far, Ending::delivered, millis(330)), b.pass(100);
+    far.heard = far.position = 0;
+    far.probedAt = b.now;
+    b.front.probed("a", Ending::timedOut);
+    assert(far.awaySince);  // nothing heard from there
+    far.awaySince = 0;
+    b.heardFrom(1);
+    b.front.probed("a", Ending::timedOut);
+    assert(!far.awaySince);
+    far.position = near.position = b.now;
+    const double before = far.window;
+    b.settle(far, Ending::delivered, millis(330));
+    assert(far.window >= before && b.pickReplica(b.transaction(look)) == &near);
+}
+
+// The clockwork finds silence at a store that it had stopped watching.
+void clockworkWatchesAgain() {
+    Bench b;
+    Store& s = b.store("s");
+    b.front.woke(0);
+    b.launch(b.transaction(look), s);
+    b.pass(900);
+    b.front.woke(0);
+    assert(s.suspectSince && b.notes.count("cancel t 0") == 1);
+}
+
 int main() {
     unusualSilenceIsNoticed();
     silentStoreIsTried();
@@ -202,4 +245,7 @@
     slippingReplicaSheds();
     coldStoreKeepsItsShare();
     firstLaunchesAreSpread();
+    longWorkIsNoSilence();
+    slowWayIsNotTheStore();
+    clockworkWatchesAgain();
 }
--- a/tests/list.cpp
+++ b/tests/list.cpp
@@ -108,6 +108,35 @@
     assert(b.pick(t) == nullptr);
 }
 
+// Many fronts seek a lost primary when they need it, and together no more often than a few would.
+void manyFrontsSeekSeldom() {
+    Charter c = charter();
+    c.fronts = 200;
+    Bench b(c);
+    b.store("a").role = Role::replica;
+    b.front.woke(0);
+    assert(b.notes.count("probe") == 0);
+    const Transaction& t = b.transaction(pay);
+    b.pick(t);
+    b.group.members[0]->probing = false;
+    b.pass(500);
+    b.pick(t);
+    assert(b.notes.count("probe") == 1);
+    b.pass(101);
+    b.pick(t);
+    assert(b.notes.count("probe") == 2);
+}
+
+// A report that is untrue: an answer says that the store is no primary, so it is not read as one.
+void answerBeatsAnUntrueReport() {
+    Bench b;
+    Store& s = b.store("s");
+    b.tellRole(s, Role::replica, b.now, true);
+    b.pass(1500);
+    b.front.reported("s", b.now, true);
+    assert(b.group.primary == &s && b.pick(b.transaction(check)) == nullptr);
+}
+
 int main() {
     wholeListEndsTheMissing();
     listNamesThePrimaryOnlyAtFirst();
@@ -116,4 +145,6 @@
     laterRoleHolds();
     handingOverDoesNotFlip();
     writeSeeksThePrimary();
+    manyFrontsSeekSeldom();
+    answerBeatsAnUntrueReport();
 }
--- a/tests/pools.cpp
+++ b/tests/pools.cpp
@@ -79,6 +79,18 @@
     assert(lent.pool == Pool::freemium && lent.lender == Pool::none);
 }
 
+// Fronts with few reads find all loads alike: each takes the first from its own place on, whatever the zone.
+void quietFrontsSpread() {
+    for (int front : {0, 1}) {
+        Charter c = charter();
+        c.front = front;
+        Bench b(c);
+        for (const char* id : {"a", "b"}) b.store(id, Pool::premium).window = 0.1;
+        b.group.members[0]->zone = 1;
+        assert(b.pickReplica(b.transaction(look)) == b.group.members[front]);
+    }
+}
+
 int main() {
     dealsTwoFifths();
     takesTheLeastLoadedOfItsOwn();
@@ -86,4 +98,5 @@
     keepsTheFreemiumFloor();
     freemiumBorrowsAboveTheTarget();
     givesBackAtTheWatermark();
+    quietFrontsSpread();
 }
