--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -482,7 +482,7 @@
     auto least = [&](auto admits, auto load) {
         return leastOf(
             group, front_, [&](Store* s) { return admits(s) && usable(s); },
-            [&](Store* s) { return std::pair{load(s), zoneCounts(*s)}; });
+            [&](Store* s) { return std::tuple{slowWay(*s), load(s), zoneCounts(*s)}; });
     };
     auto own = [&](Store* s) { return s->pool == poolOf(tier); };
     auto ownLoad = [&](Store* s) { return poolLoad(*s, tier); };
