--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -727,12 +727,12 @@
 // What a launch's ending says of its store.
 void Front::settleAccount(Store& store, const Launch& launch, Ending how, Nanos delay) {
     const Lane& lane = lanes_[launch.lane];
-    // What it was out beyond the usual time that it has paid for is paid now, five seconds ahead at most. Only
-    // what was worked on or missed sooner is paid back: a store that turns launches away fast would cost nothing else.
+    // What it was out beyond the usual time that it has paid for is paid now, five seconds ahead at most, or so far
+    // that all fronts together still try a store that is jammed ten times a second. Only what was worked on or missed sooner is paid back: a store that turns launches away fast would cost nothing else.
     const double beyond = (double(delay) - workOf(launch.lane)) / store.window;
     const bool farOff = slowWay(store);
     if ((beyond > 0 && !farOff) || how == Ending::delivered || how == Ending::missed)
-        store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond), now_ + healthMemory);
+        store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond), now_ + std::max(healthMemory, fronts_ * millis(100)));
     if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
     // A broken connection may be the store's end or only the connection's: a probe tells soon.
     if (how == Ending::broken) probe(store);
@@ -761,7 +761,9 @@
         ways_[store.zone].late.add(now_, healthMemory, late || how == Ending::timedOut ? 1 : 0);
     // A client that would not wait longer is a sign of too long a queue where answers come late, too. Where
     // they don't, the store or the way to it loses launches, and fewer of them would change nothing.
-    if (how == Ending::timedOut && store.late.read(now_, healthMemory, 1) > 0.1) shrink(0.85);
+    if (how == Ending::timedOut && store.late.read(now_, healthMemory, 1) > 0.1)
+        // A front that seldom launches there has few lapses to learn from.
+        shrink(store.window < 1 ? 0.5 : 0.85);
     if (how != Ending::delivered) return;
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
     store.borne.add(now_, healthMemory, workOf(launch.lane));
@@ -775,7 +777,7 @@
     if (slipping || (late && !farOff))
         shrink(0.85);
     else if (store.window < 1 ? store.paidUntil > now_ : double(store.out.size()) + 1 >= 0.75 * store.window)
-        store.window += step_ / std::max(3.0 / fronts_, store.window) + (store.window < 1 ? 0.08 : 0.02) * store.window;
+        store.window += step_ / std::max(3.0 / fronts_, store.window) + (store.window < 1 ? 0.15 : 0.02) * store.window;
 }
 
 void Front::hold(Transaction& t) {
