--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -431,18 +431,21 @@
     // more beside that of the best write: 1.4 of their part of both, so that equal gains leave writes a
     // third.
     const Need need = lanes_[transaction.lane].need;
-    double window = store.window;
+    double share = 1;
     if (groups_[store.group].primary == &store && need != Need::write && need != Need::fresh) {
         double best = 0;
         for (std::size_t lane = 0; lane < lanes_.size(); ++lane)
             if (lanes_[lane].need == Need::write) best = std::max(best, lanes_[lane].gain / workOf(lane));
         const double mine = lanes_[transaction.lane].gain / workOf(transaction.lane);
-        window *= std::clamp(1.4 * mine / (mine + best), 0.5, 1.0);
+        share = std::clamp(1.4 * mine / (mine + best), 0.5, 1.0);
     }
+    const double window = share * store.window;
     // A window below one is kept by payment: each launch pays the time that it is out, divided by the window, and
     // two may run ahead: a write and the reads that follow it come together. So all fronts together keep out what
     // they would with one window, however slow the answers.
-    if (window < 1 && (store.out.size() >= 2 || store.paidUntil > now_)) return false;
+    // Reads that spill over may run ahead by their part alone.
+    const double ahead = 2 * (1 - share) * workOf(transaction.lane) / window;
+    if (window < 1 && (store.out.size() >= 2 || store.paidUntil > now_ - static_cast<Nanos>(ahead))) return false;
     if (window >= 1 && double(store.out.size()) >= window) return false;
     return coldRoom(store, workOf(transaction.lane));
 }
