--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -332,13 +332,17 @@
         if (!store.out.empty()) since = std::max(since, store.out.front().sent);
         if (store.heard > 0) store.gaps.add(now_, healthMemory, double(now_ - since));
         store.heard = ways_[store.zone].heard = now_;
-        if (store.suspectSince) out_.log("store " + store.id + " answers again");
+        if (store.suspectSince) {
+            out_.log("store " + store.id + " answers again");
+            store.paidUntil = std::min(store.paidUntil, now_);  // what was owed for its silence says no more
+        }
         store.suspectSince = 0;
     }
     if (store.awaySince) {
         if (now_ - store.awaySince >= firstTrial) out_.log("store " + store.id + " is reachable again");
         // Away for a second or more, it may have started again; the list may tell so much later.
         if (now_ - store.awaySince > millis(1000)) store.started = std::max(store.started, now_);
+        store.paidUntil = std::min(store.paidUntil, now_);
         store.awaySince = 0;
     }
 }
@@ -734,7 +738,8 @@
     // that all fronts together still try a store that is jammed ten times a second. Only what was worked on or missed sooner is paid back: a store that turns launches away fast would cost nothing else.
     const double beyond = (double(delay) - workOf(launch.lane)) / store.window;
     const bool farOff = slowWay(store);
-    if ((beyond > 0 && !farOff) || how == Ending::delivered || how == Ending::missed)
+    if ((beyond > 0 && !farOff && how != Ending::unreachable) || how == Ending::delivered ||
+        how == Ending::missed)
         store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond), now_ + std::max(healthMemory, fronts_ * millis(100)));
     if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
     // A broken connection may be the store's end or only the connection's: a probe tells soon.
