--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -769,7 +769,7 @@
         ways_[store.zone].late.add(now_, healthMemory, late || how == Ending::timedOut ? 1 : 0);
     // A client that would not wait longer is a sign of too long a queue where answers come late, too. Where
     // they don't, the store or the way to it loses launches, and fewer of them would change nothing.
-    if (how == Ending::timedOut && store.late.read(now_, healthMemory, 1) > 0.1)
+    if (how == Ending::timedOut && !farOff && store.late.read(now_, healthMemory, 1) > 0.1)
         // A front that seldom launches there has few lapses to learn from.
         shrink(store.window < 1 ? 0.5 : 0.85);
     if (how != Ending::delivered) return;
