--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -532,22 +532,16 @@
     return least([](Store*) { return true; }, [](Store* s) { return s->load[0] + s->load[1]; });
 }
 
-// Departure: a long transaction that needs no fresh data goes to the replica that lags most. It stops the
-// application of the log where it runs; spread over the pools it would make every replica unfit for bounded
-// and session reads, so that all of these fall on the primary. It needs no agreement: whichever replica
-// takes the first falls behind and is then chosen by all fronts. It should also keep long work off good
-// replicas when the log is slow or cut off for other reasons. It may hurt where long work is most of the
-// load.
+// Departure: a long transaction that needs no fresh data goes to the first replica by id that will do. It stops
+// the application of the log where it runs; spread over the pools it would make every replica unfit for bounded
+// and session reads, so that all of these fall on the primary. It needs no agreement: all fronts know the same
+// ids, and few of them know who lags most. It should also keep long work off good replicas when the log is slow
+// or cut off for other reasons. It may hurt where long work is most of the load, or lists differ.
 Store* Front::pickForLong(Group& group, const Transaction& transaction) {
-    Store* best = nullptr;
-    for (Store* s : group.members) {
-        if (s->standing != Standing::up || s == group.primary || !wellEnough(*s)) continue;
-        if (!hasRoom(*s, transaction)) continue;
-        // Lags up to half the bound are alike; then the first by id, so that fronts agree from the start.
-        auto lag = [&](const Store* m) { return std::max(m->positionTold - m->position, probeAge_); };
-        if (!best || lag(s) > lag(best)) best = s;
-    }
-    return best;
+    for (Store* s : group.members)
+        if (s->standing == Standing::up && s != group.primary && wellEnough(*s) && hasRoom(*s, transaction))
+            return s;
+    return nullptr;
 }
 
 bool Front::isLong(int lane) {
