--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -272,7 +272,7 @@
             // A millisecond is kept against rounding on the way.
             return store.position >= now_ - lane.bound + millis(1);
         case Need::session:
-            return store.position >= transaction.mustSee;
+            return transaction.mustSee == 0 || store.position >= transaction.mustSee;
         default:
             return false;
     }
@@ -314,8 +314,9 @@
 }  // namespace
 
 double Front::workOf(int lane) {
-    // Before answers tell, a quarter of the goal time: operators set goals at some times the usual work. A front
-    // that has few transactions goes by this for long, and must not take long work for silence meanwhile.
+    // Before answers tell, a quarter of the goal time: operators set goals at some times the usual work. A
+    // front that has few transactions goes by this for long, and must not take long work for silence
+    // meanwhile.
     return laneTime_[lane].read(now_, laneMemory, double(lanes_[lane].goalTime) / 4);
 }
 
@@ -384,10 +385,10 @@
     if (silence > 8 * store.gaps.read(now_, healthMemory, quickest / 2) + 100e6) distrust(store, false);
 }
 
-// Whether the way to another zone, not the stores there, makes answers late: most from there are, and at least twice
-// as many as from the own zone. What all stores of a zone show is known to a front that has few transactions
-// when it knows next to nothing of each. It guards against links that slow or lose what is sent, and should catch
-// cut ones; it may hurt where all stores of a zone are crowded.
+// Whether the way to another zone, not the stores there, makes answers late: most from there are, and at
+// least twice as many as from the own zone. What all stores of a zone show is known to a front that has few
+// transactions when it knows next to nothing of each. It guards against links that slow or lose what is sent,
+// and should catch cut ones; it may hurt where all stores of a zone are crowded.
 bool Front::slowWay(const Store& store) {
     if (store.zone == zone_) return false;
     const double there = ways_[store.zone].late.read(now_, healthMemory, 0);
@@ -444,12 +445,13 @@
         share = std::clamp(1.4 * mine / (mine + best), 0.5, 1.0);
     }
     const double window = share * store.window;
-    // A window below one is kept by payment: each launch pays the time that it is out, divided by the window, and
-    // two may run ahead: a write and the reads that follow it come together. So all fronts together keep out what
-    // they would with one window, however slow the answers.
-    // Reads that spill over may run ahead by their part alone.
+    // A window below one is kept by payment: each launch pays the time that it is out, divided by the window,
+    // and two may run ahead: a write and the reads that follow it come together. So all fronts together keep
+    // out what they would with one window, however slow the answers. Reads that spill over may run ahead by
+    // their part alone.
     const double ahead = 2 * (1 - share) * workOf(transaction.lane) / window;
-    if (window < 1 && (store.out.size() >= 2 || store.paidUntil > now_ - static_cast<Nanos>(ahead))) return false;
+    if (window < 1 && (store.out.size() >= 2 || store.paidUntil > now_ - static_cast<Nanos>(ahead)))
+        return false;
     if (window >= 1 && double(store.out.size()) >= window) return false;
     return coldRoom(store, workOf(transaction.lane));
 }
@@ -457,8 +459,9 @@
 // ---- pick -----------------------------------------------------------------------------------------
 
 namespace {
-// The member with the least key of those that a condition admits. Of equals the first counted from the front's
-// number on, as pools are dealt: fronts with few reads find all loads alike, and would else flock to one.
+// The member with the least key of those that a condition admits. Of equals the first counted from the
+// front's number on, as pools are dealt: fronts with few reads find all loads alike, and would else flock to
+// one.
 template <class Admits, class Key>
 Store* leastOf(const Group& group, int front, Admits admits, Key key) {
     Store* best = nullptr;
@@ -471,8 +474,8 @@
 }
 }  // namespace
 
-// Whether a store gives way to one in this front's zone. Not where its window is below one launch: this front's
-// loads then say nothing, so nothing would hold a zone's fronts back from one store.
+// Whether a store gives way to one in this front's zone. Not where its window is below one launch: this
+// front's loads then say nothing, so nothing would hold a zone's fronts back from one store.
 bool Front::zoneCounts(const Store& store) const {
     return store.window >= 1 && store.zone != zone_;
 }
@@ -489,7 +492,9 @@
     auto least = [&](auto admits, auto load) {
         return leastOf(
             group, front_, [&](Store* s) { return admits(s) && usable(s); },
-            [&](Store* s) { return std::tuple{slowWay(*s), load(s), zoneCounts(*s)}; });
+            [&](Store* s) {
+                return std::tuple{slowWay(*s), load(s), zoneCounts(*s)};
+            });
     };
     auto own = [&](Store* s) { return s->pool == poolOf(tier); };
     auto ownLoad = [&](Store* s) { return poolLoad(*s, tier); };
@@ -497,7 +502,8 @@
     Store* wanted = nullptr;
     for (Store* s : group.members)
         if ((own(s) || s->pool == Pool::mixed) && s->standing == Standing::up && wellEnough(*s) &&
-            probeIsDue(*s) && !slowWay(*s) && hasRoom(*s, transaction) && (!wanted || ownLoad(s) < ownLoad(wanted)))
+            probeIsDue(*s) && !slowWay(*s) && hasRoom(*s, transaction) &&
+            (!wanted || ownLoad(s) < ownLoad(wanted)))
             wanted = s;
     // Where stores check, one that may well be fresh enough is not asked: its answer to the read tells.
     if (wanted && lanes_[transaction.lane].need != Need::any &&
@@ -532,11 +538,11 @@
     return least([](Store*) { return true; }, [](Store* s) { return s->load[0] + s->load[1]; });
 }
 
-// Departure: a long transaction that needs no fresh data goes to the first replica by id that will do. It stops
-// the application of the log where it runs; spread over the pools it would make every replica unfit for bounded
-// and session reads, so that all of these fall on the primary. It needs no agreement: all fronts know the same
-// ids, and few of them know who lags most. It should also keep long work off good replicas when the log is slow
-// or cut off for other reasons. It may hurt where long work is most of the load, or lists differ.
+// Departure: a long transaction that needs no fresh data goes to the first replica by id that will do. It
+// stops the application of the log where it runs; spread over the pools it would make every replica unfit for
+// bounded and session reads, so that all of these fall on the primary. It needs no agreement: all fronts know
+// the same ids, and few of them know who lags most. It should also keep long work off good replicas when the
+// log is slow or cut off for other reasons. It may hurt where long work is most of the load, or lists differ.
 Store* Front::pickForLong(Group& group, const Transaction& transaction) {
     for (Store* s : group.members)
         if (s->standing == Standing::up && s != group.primary && wellEnough(*s) && hasRoom(*s, transaction))
@@ -549,10 +555,10 @@
     return lanes_[lane].need == Need::any && workOf(lane) > 4 * quickestWork();
 }
 
-// Departure: where a replica that may well be fresh enough has just been asked how fresh it is, a read waits for
-// the answer rather than burden the primary. A front with few reads knows no position young enough, and all such
-// fronts together would send most reads to the primaries. It should also hold where answers tell no positions.
-// It may hurt where the way is slow: so no longer than a tenth of the goal time.
+// Departure: where a replica that may well be fresh enough has just been asked how fresh it is, a read waits
+// for the answer rather than burden the primary. A front with few reads knows no position young enough, and
+// all such fronts together would send most reads to the primaries. It should also hold where answers tell no
+// positions. It may hurt where the way is slow: so no longer than a tenth of the goal time.
 bool Front::awaitsReport(const Group& group, const Transaction& transaction) const {
     const Lane& lane = lanes_[transaction.lane];
     if (lane.need != Need::bounded && lane.need != Need::session) return false;
@@ -568,7 +574,7 @@
     const Need need = lanes_[transaction.lane].need;
     if (need == Need::write) return pickForWrite(group, transaction);
     if (isLong(transaction.lane))
-        if (Store* laggard = pickForLong(group, transaction)) return laggard;
+        if (Store* first = pickForLong(group, transaction)) return first;
     if (need != Need::fresh)
         if (Store* replica = pickReplica(group, transaction)) return replica;
     if (awaitsReport(group, transaction)) return nullptr;
@@ -728,13 +734,15 @@
 // What a launch's ending says of its store.
 void Front::settleAccount(Store& store, const Launch& launch, Ending how, Nanos delay) {
     const Lane& lane = lanes_[launch.lane];
-    // What it was out beyond the usual time that it has paid for is paid now, five seconds ahead at most, or so far
-    // that all fronts together still try a store that is jammed ten times a second. Only what was worked on or missed sooner is paid back: a store that turns launches away fast would cost nothing else.
+    // What it was out beyond the usual time that it has paid for is paid now, five seconds ahead at most, or
+    // so far that all fronts together still try a store that is jammed ten times a second. Only what was
+    // worked on or missed sooner is paid back: a store that turns launches away fast would cost nothing else.
     const double beyond = (double(delay) - workOf(launch.lane)) / store.window;
     const bool farOff = slowWay(store);
     if ((beyond > 0 && !farOff && how != Ending::unreachable) || how == Ending::delivered ||
         how == Ending::missed)
-        store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond), now_ + std::max(healthMemory, fronts_ * millis(100)));
+        store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond),
+                                   now_ + std::max(healthMemory, fronts_ * millis(100)));
     if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
     // A broken connection may be the store's end or only the connection's: a probe tells soon.
     if (how == Ending::broken) probe(store);
@@ -769,17 +777,18 @@
     if (how != Ending::delivered) return;
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
     store.borne.add(now_, healthMemory, workOf(launch.lane));
-    // The window grows with answers in good time where it binds, and shrinks when one comes near its goal time: waiting
-    // then is better done here, where the highest gain goes first. The fiftieth lets a front that has most
-    // of a group's traffic outgrow its share.
-    // A replica that slips from half the bound to twice it gets less, too: it is crowded, and applies the log
-    // too slowly to serve bounded reads soon. Further behind it is a lost cause, and may as well work.
+    // The window grows with answers in good time where it binds, and shrinks when one comes near its goal
+    // time: waiting then is better done here, where the highest gain goes first. The fiftieth lets a front
+    // that has most of a group's traffic outgrow its share. A replica that slips from half the bound to twice
+    // it gets less, too: it is crowded, and applies the log too slowly to serve bounded reads soon. Further
+    // behind it is a lost cause, and may as well work.
     const Nanos lag = store.positionTold - store.position;
     const bool slipping = lag > probeAge_ && lag < 4 * probeAge_ && !isLong(launch.lane);
     if (slipping || (late && !farOff))
         shrink(0.85);
     else if (store.window < 1 ? store.paidUntil > now_ : double(store.out.size()) + 1 >= 0.75 * store.window)
-        store.window += step_ / std::max(3.0 / fronts_, store.window) + (store.window < 1 ? 0.15 : 0.02) * store.window;
+        store.window +=
+            step_ / std::max(3.0 / fronts_, store.window) + (store.window < 1 ? 0.15 : 0.02) * store.window;
 }
 
 void Front::hold(Transaction& t) {
@@ -861,8 +870,9 @@
     Store* store = find(id);
     if (!store) return;
     store->probing = false;
-    // A probe's time is short. Where work from the store's zone was answered lately it says nothing that it ran
-    // out: the way is slow, or loses messages. Three seconds give a front with few transactions some answers.
+    // A probe's time is short. Where work from the store's zone was answered lately it says nothing that it
+    // ran out: the way is slow, or loses messages. Three seconds give a front with few transactions some
+    // answers.
     const bool slow = how == Ending::timedOut && now_ - ways_[store->zone].heard < millis(3000);
     if (how == Ending::delivered)
         hear(*store, false);
@@ -878,8 +888,8 @@
     if (primary && position) tellRole(*store, *primary ? Role::primary : Role::replica, *position, false);
 }
 
-// The front's own clockwork, every 20 ms: a small part of any goal time. It looks at what may need it alone, as a
-// front may know hundreds of stores and use few of them at a time.
+// The front's own clockwork, every 20 ms: a small part of any goal time. It looks at what may need it alone,
+// as a front may know hundreds of stores and use few of them at a time.
 void Front::round() {
     out_.wake(now_ + millis(20), 0);
     tendList();
@@ -910,7 +920,8 @@
     double borne = 0;
     int warm = 0;
     for (auto& [id, store] : stores_) {
-        if (store->standing != Standing::up || coldShare(*store) < 1 || store->awaySince || store->suspectSince)
+        if (store->standing != Standing::up || coldShare(*store) < 1 || store->awaySince ||
+            store->suspectSince)
             continue;
         // A decaying sum of halves holds 1/ln 2 half-lives' worth.
         borne += store->borne.read(now_, healthMemory) * 0.693 / double(healthMemory);
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -139,7 +139,7 @@
     Nanos shrunk = 0;
     Nanos suspectSince = 0, awaySince = 0, nextTrial = 0, trialPause = 0;
     Nanos paidUntil = 0;  // launches are paid for, at the rate that a small window allows, up to this time
-    int fruitless = 0;  // launches in a row
+    int fruitless = 0;    // launches in a row
     Nanos restsUntil = 0;
     double coldCredit = 0;
     Nanos coldCreditAt = 0;
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -78,7 +78,8 @@
     assert(b.probeIsDue(s));
 }
 
-// Long reads stop the log where they run: all fronts send theirs to the same replica, the first by id (i8e8e57).
+// Long reads stop the log where they run: all fronts send theirs to the same replica, the first by id
+// (i8e8e57).
 void longReadsGoToTheFirst() {
     Bench b;
     Store& first = b.store("a", Pool::freemium);
@@ -108,7 +109,8 @@
     assert(b.launchedTo("v", "s"));
 }
 
-// A front with few reads knows no position young enough: it asks, and waits a little before it burdens the primary.
+// A front with few reads knows no position young enough: it asks, and waits a little before it burdens the
+// primary.
 void quietReadWaitsForItsProbe() {
     Bench b;
     Store& p = b.primary("p");
@@ -126,7 +128,8 @@
     s.probing = false;
 }
 
-// Where stores check, a replica that was never asked is read, not asked; the store itself says what does not hold.
+// Where stores check, a replica that was never asked is read, not asked; the store itself says what does not
+// hold.
 void unknownReplicaIsTriedWhereStoresCheck() {
     Charter c = charter();
     c.storesCheck = true;
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -105,8 +105,8 @@
     assert(s.window == before);
 }
 
-// Many fronts share a window; under one launch it is kept by payment for the time out (i6a0c13, i8c8a05): at 0.5 a
-// launch pays twice its time, and two may run ahead.
+// Many fronts share a window; under one launch it is kept by payment for the time out (i6a0c13, i8c8a05): at
+// 0.5 a launch pays twice its time, and two may run ahead.
 void smallWindowIsPaidFor() {
     Bench b;
     Store& s = b.store("s");
@@ -198,8 +198,8 @@
     assert(!s.suspectSince);
 }
 
-// A slow way: probes run out though work is answered late. The stores are not out of reach, keep their windows, and
-// reads go to nearer ones.
+// A slow way: probes run out though work is answered late. The stores are not out of reach, keep their
+// windows, and reads go to nearer ones.
 void slowWayIsNotTheStore() {
     Bench b;
     Store& far = b.store("a", Pool::premium);
