--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -739,8 +739,8 @@
     // worked on or missed sooner is paid back: a store that turns launches away fast would cost nothing else.
     const double beyond = (double(delay) - workOf(launch.lane)) / store.window;
     const bool farOff = slowWay(store);
-    if ((beyond > 0 && !farOff && how != Ending::unreachable) || how == Ending::delivered ||
-        how == Ending::missed)
+    const bool owes = beyond > 0 && !farOff && how != Ending::unreachable;
+    if (store.window < 1 && (owes || how == Ending::delivered || how == Ending::missed))
         store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond),
                                    now_ + std::max(healthMemory, fronts_ * millis(100)));
     if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
@@ -786,7 +786,8 @@
     const bool slipping = lag > probeAge_ && lag < 4 * probeAge_ && !isLong(launch.lane);
     if (slipping || (late && !farOff))
         shrink(0.85);
-    else if (store.window < 1 ? store.paidUntil > now_ : double(store.out.size()) + 1 >= 0.75 * store.window)
+    else if (store.window < 1 ? double(now_ - store.paidUntil) < workOf(launch.lane) / store.window
+                              : double(store.out.size()) + 1 >= 0.75 * store.window)
         store.window +=
             step_ / std::max(3.0 / fronts_, store.window) + (store.window < 1 ? 0.15 : 0.02) * store.window;
 }
