--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -340,6 +340,8 @@
         store.suspectSince = 0;
     }
     if (store.awaySince) {
+        // A probe is answered: the store was well, but took no connection.
+        if (!byWork && std::exchange(store.shut, false)) shut_.add(now_, healthMemory, 1);
         if (now_ - store.awaySince >= firstTrial) out_.log("store " + store.id + " is reachable again");
         // Away for a second or more, it may have started again; the list may tell so much later.
         if (now_ - store.awaySince > millis(1000)) store.started = std::max(store.started, now_);
@@ -744,6 +746,8 @@
         store.paidUntil = std::min(store.paidUntil + static_cast<Nanos>(beyond),
                                    now_ + std::max(healthMemory, fronts_ * millis(100)));
     if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
+    // Turned away at once: the process is gone, or takes no further connection; a probe tells which.
+    store.shut = how == Ending::unreachable && delay < millis(50);
     // A broken connection may be the store's end or only the connection's: a probe tells soon.
     if (how == Ending::broken) probe(store);
     auto shrink = [&](double share) {
@@ -775,6 +779,12 @@
         // A front that seldom launches there has few lapses to learn from.
         shrink(store.window < 1 ? 0.5 : 0.85);
     if (how != Ending::delivered) return;
+    // Where a tenth of the launches find a store that is well but takes no connection, its table is full of
+    // others' idle ones. Each front then gives back its own after use. It guards against more fronts than a
+    // store takes connections, and should catch tables that fill for other reasons; it costs a handshake a
+    // launch.
+    shut_.add(now_, healthMemory, 0);
+    if (store.out.empty() && shut_.read(now_, healthMemory, 0) > 0.1) out_.hangUp(store.id);
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
     store.borne.add(now_, healthMemory, workOf(launch.lane));
     // The window grows with answers in good time where it binds, and shrinks when one comes near its goal
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -140,6 +140,7 @@
     Nanos suspectSince = 0, awaySince = 0, nextTrial = 0, trialPause = 0;
     Nanos paidUntil = 0;  // launches are paid for, at the rate that a small window allows, up to this time
     int fruitless = 0;    // launches in a row
+    bool shut = false;    // turned the last launch's connection away at once
     Nanos restsUntil = 0;
     double coldCredit = 0;
     Nanos coldCreditAt = 0;
@@ -278,6 +279,7 @@
     std::vector<Store*> unseen_, watched_;
     std::vector<Group*> waiting_;  // those that hold transactions
     Nanos askAt_ = 0, weighAt_ = 0;
+    RecentMean shut_;     // share of launches that found a store well but shut to them
     double bearing_ = 0;  // work a second that a warm store does for this front
 };
 
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -230,6 +230,18 @@
     assert(s.suspectSince && b.notes.count("cancel t 0") == 1);
 }
 
+// A well store that refuses connections is full of others' idle ones: each front gives back its own (i3bb1cb).
+void fullTableIsRelieved() {
+    Bench b;
+    Store& s = b.store("s");
+    b.settle(s, Ending::delivered, millis(20));
+    assert(b.notes.count("hang up") == 0);
+    b.settle(s, Ending::unreachable, millis(3));
+    b.front.probed("s", Ending::delivered);
+    b.settle(s, Ending::delivered, millis(20));
+    assert(b.notes.count("hang up s") == 1);
+}
+
 int main() {
     unusualSilenceIsNoticed();
     silentStoreIsTried();
@@ -247,4 +259,5 @@
     longWorkIsNoSilence();
     slowWayIsNotTheStore();
     clockworkWatchesAgain();
+    fullTableIsRelieved();
 }
