--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -230,7 +230,7 @@
     assert(s.suspectSince && b.notes.count("cancel t 0") == 1);
 }
 
-// A well store that refuses connections is full of others' idle ones: each front gives back its own (i3bb1cb).
+// A well store that refuses connections is full of idle ones: each front gives back its own (i3bb1cb).
 void fullTableIsRelieved() {
     Bench b;
     Store& s = b.store("s");
