--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -507,10 +507,14 @@
             probeIsDue(*s) && !slowWay(*s) && hasRoom(*s, transaction) &&
             (!wanted || ownLoad(s) < ownLoad(wanted)))
             wanted = s;
-    // Where stores check, one that may well be fresh enough is not asked: its answer to the read tells.
+    // Where stores check, one that may well be fresh enough is read without being asked, as its answer tells;
+    // one a second is asked all the same, so that what no read goes to stays known.
+    const bool answerTells = storesCheck_ && wanted && mayCatchUp(*wanted, transaction);
     if (wanted && lanes_[transaction.lane].need != Need::any &&
-        !(storesCheck_ && mayCatchUp(*wanted, transaction)))
+        (!answerTells || now_ - refreshedAt_ >= millis(1000))) {
+        if (answerTells) refreshedAt_ = now_;
         probe(*wanted);
+    }
 
     Store* ownLeast = least(own, ownLoad);
     if (ownLeast && ownLoad(ownLeast) < theta) return ownLeast;
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -278,7 +278,7 @@
     Nanos markFloor_ = 0;
     std::vector<Store*> unseen_, watched_;
     std::vector<Group*> waiting_;  // those that hold transactions
-    Nanos askAt_ = 0, weighAt_ = 0;
+    Nanos askAt_ = 0, weighAt_ = 0, refreshedAt_ = 0;
     RecentMean shut_;     // share of launches that found a store well but shut to them
     double bearing_ = 0;  // work a second that a warm store does for this front
 };
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -126,15 +126,16 @@
     assert(b.pick(later) == &p);
 }
 
-// Where stores check, a replica that was never asked is read, not asked: the store says what does not hold.
+// Where stores check, a replica that was never asked is read at once, and one a second is asked as well.
 void unknownReplicaIsTriedWhereStoresCheck() {
     Charter c = charter();
     c.storesCheck = true;
     Bench b(c);
     b.primary("p");
     Store& s = b.store("s", Pool::premium);
-    s.position = -1;
-    assert(b.pick(b.transaction(look)) == &s && b.notes.count("probe") == 0);
+    s.position = -1, s.positionTold = 0;
+    for (int i = 0; i < 2; ++i, s.probing = false, b.pass(500))
+        assert(b.pick(b.transaction(look)) == &s && b.notes.count("probe s") == 1);
 }
 
 int main() {
