--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -413,7 +413,7 @@
     return coldShare(store) * coldFactor_ * std::max(bearing_, 1.0 / fronts_);
 }
 
-// A cold store's credit starts below nought by a random part of one launch, and grows by two seconds' worth a
+// A cold store's credit starts below nought by a random part of one launch, and grows by six seconds' worth a
 // look at most. It guards against many fronts, each of which may send less than one launch in the whole time,
 // sending their first ones together; it should also catch a crowd that turns to a cold store at once when
 // others fail. It may hurt where a front looks seldom: then it sends less than its share.
@@ -427,7 +427,7 @@
         store.coldCreditAt = now_;
         store.coldCredit = -mean * double(chance_()) / double(std::minstd_rand::max());
     }
-    const double earned = coldRate(store) * double(std::min(now_ - store.coldCreditAt, millis(2000)));
+    const double earned = coldRate(store) * double(std::min(now_ - store.coldCreditAt, millis(6000)));
     store.coldCredit = std::min(work, store.coldCredit + earned);
     store.coldCreditAt = now_;
     return store.coldCredit > 0;
