--- a/adapter/main.cpp
+++ b/adapter/main.cpp
@@ -7,8 +7,8 @@
 #include <map>
 #include <stdexcept>
 
-#include "charter.hpp"
 #include "reply.hpp"
+#include "run/charter.hpp"
 
 namespace granitereel::adapter {
 namespace {
@@ -63,14 +63,14 @@
     if (code.size() == 1)
         for (const auto& [letter, ending] : known)
             if (letter == code[0]) return ending;
-    throw WireFault("unknown state-code '" + std::string(code) + "'");
+    throw Misread("unknown state-code '" + std::string(code) + "'");
 }
 
 Standing standingOf(std::string_view condition) {
     if (condition == "up") return Standing::up;
     if (condition == "draining") return Standing::draining;
     if (condition == "removed") return Standing::removed;
-    throw WireFault("unknown condition '" + std::string(condition) + "'");
+    throw Misread("unknown condition '" + std::string(condition) + "'");
 }
 
 void readInventory(const object& event) {
@@ -89,9 +89,9 @@
     const std::string_view how(event["how"]);
     if (how == "failed") return front.listFailed();
     if (how != "delta" && how != "full" && how != "cached")
-        throw WireFault("unknown list event '" + std::string(how) + "'");
+        throw Misread("unknown list event '" + std::string(how) + "'");
     const auto inventory = inventories.find(std::int64_t(event["ref"]));
-    if (inventory == inventories.end()) throw WireFault("list event with an unknown ref");
+    if (inventory == inventories.end()) throw Misread("list event with an unknown ref");
     front.listBegins(how != "delta");
     for (const Entry& e : inventory->second)
         front.listEntry(e.store, e.group, e.zone, e.standing, e.started, e.primary);
@@ -123,7 +123,7 @@
 }
 
 void create(Instance& instance, const object& event, Nanos now) {
-    const Opening opening = readSettings(object(event["params"]));
+    const Opening opening = readCharter(object(event["params"]));
     instance.origin = opening.origin;
     instance.stamps = opening.stamps;
     const element seed = event["init-seed"];
@@ -134,7 +134,7 @@
 
 void handle(Instance& instance, std::string_view name, const object& event, Nanos now) {
     if (name == "Create") return create(instance, event, now);
-    if (!instance.front) throw WireFault("event for an instance that was not created");
+    if (!instance.front) throw Misread("event for an instance that was not created");
     Front& front = *instance.front;
     front.clock(now);
     if (name == "Order") {
@@ -159,7 +159,7 @@
     } else if (name == "Begun") {
         front.begun(text(event, "id"));
     } else if (name != "Memo") {  // fronts say nothing to each other, so there is nothing to hear
-        throw WireFault("unknown event '" + std::string(name) + "'");
+        throw Misread("unknown event '" + std::string(name) + "'");
     }
 }
 
@@ -190,7 +190,7 @@
                     handle(instance, name, event, now);
                 } catch (const simdjson::simdjson_error&) {
                     throw;  // the message lacks something: the wire's fault, not the decisions'
-                } catch (const WireFault&) {
+                } catch (const Misread&) {
                     throw;
                 } catch (const std::exception& fault) {
                     instance.reply.panic(fault.what());
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -848,6 +848,11 @@
     forget(t);
 }
 
+void Front::giveUp(const std::string& id) {
+    auto it = transactions_.find(id);
+    if (it != transactions_.end()) finish(*it->second);
+}
+
 void Front::forget(Transaction& t) {
     if (t.held) std::erase(t.group->held, &t);
     if (t.out > 0 && mayCancel_)
@@ -964,6 +969,21 @@
     return lane.reach != Reach::zone || store.zone == t.boundZone;
 }
 
+// Between the pick and the first byte on the wire lies the connecting. It guards against a list or an answer
+// that comes meanwhile, and against a position that has grown too old; it should also catch any other pause of
+// the caller. It costs a launch of the few a transaction has.
+bool Front::mayStillGo(const std::string& id, const std::string& storeId) const {
+    const auto transaction = transactions_.find(id);
+    const auto found = stores_.find(storeId);
+    if (transaction == transactions_.end() || found == stores_.end()) return false;
+    const Transaction& t = *transaction->second;
+    const Store& store = *found->second;
+    if (store.standing != Standing::up) return false;
+    const Need need = lanes_[t.lane].need;
+    if (need == Need::any || need == Need::write || storesCheck_ || freshEnough(store, t)) return true;
+    return t.group->primary == &store && mayReadPrimary(store);
+}
+
 bool Front::mayNack(const Transaction& t) const {
     const Lane& lane = lanes_[t.lane];
     if (lane.effect == Effect::harmless) return true;
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -197,6 +197,11 @@
     void probed(const std::string& store, Ending how);
     void woke(std::int64_t handle);
 
+    // For a caller that needs a while to connect: whether a launch may still be written to its store.
+    bool mayStillGo(const std::string& id, const std::string& store) const;
+    // For a caller that ends: the transaction gets its final answer now.
+    void giveUp(const std::string& id);
+
 private:
     friend struct Bench;  // the tests build state directly
 
--- /dev/null
+++ b/src/memory/clients.hpp
@@ -0,0 +1,68 @@
+// What is kept of clients: their connections, and the statements that wait on each for their turn.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "inbox.hpp"
+
+namespace granitereel {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class Ticket;
+
+// What a client has asked for and what waits for its turn; a fault is the last thing that is answered.
+struct Asked {
+    std::string statement;
+    std::string faultCode, fault;
+};
+
+struct Client : std::enable_shared_from_this<Client> {
+    Client(tcp::socket from, Budget& budget)
+        : socket(std::move(from)), inbox(budget), bell(socket.get_executor()), limit(socket.get_executor()) {}
+    ~Client();
+    Client(const Client&) = delete;
+    Client& operator=(const Client&) = delete;
+
+    // Closed at `when` unless released before.
+    void closeAt(asio::steady_timer::time_point when);
+    void release();
+    void close();
+    bool quiet() const { return !busy && waiting.empty() && inbox.unread().empty(); }
+
+    tcp::socket socket;
+    Inbox inbox;
+    std::deque<Asked> waiting;
+    std::size_t waitingBytes = 0;
+    asio::steady_timer bell, limit;  // the bell rings when something is asked, answered or over
+    std::shared_ptr<Ticket> inHand;
+    bool answered = false, busy = false, gone = false, surplus = false;
+    unsigned turn = 0;
+    std::list<Client*>* kept = nullptr;
+    std::list<Client*>::iterator place;
+};
+
+// All clients, the one heard from longest ago first.
+class ClientTable {
+public:
+    explicit ClientTable(std::size_t most) : most_(most) {}
+    void add(Client& client);
+    void touch(Client& client) { all_.splice(all_.end(), all_, client.place); }
+    std::size_t count() const { return all_.size(); }
+    bool full() const { return all_.size() > most_; }
+    // Closes the one that has been quiet longest; false if none is quiet.
+    bool evict();
+    void closeQuiet();
+
+private:
+    std::size_t most_;
+    std::list<Client*> all_;
+};
+
+}  // namespace granitereel
--- a/adapter/charter.cpp
+++ b/src/run/charter.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <stdexcept>
 
-namespace granitereel::adapter {
+namespace granitereel {
 
 using simdjson::dom::element;
 using simdjson::dom::object;
@@ -44,12 +44,12 @@
         std::string_view what) {
     for (const auto& [name, value] : known)
         if (name == text) return value;
-    throw WireFault("settings: unknown " + std::string(what) + " '" + std::string(text) + "'");
+    throw Misread("settings: unknown " + std::string(what) + " '" + std::string(text) + "'");
 }
 
 }  // namespace
 
-Opening readSettings(const object& settings) {
+Opening readCharter(const object& settings) {
     Opening opening;
     Charter& charter = opening.charter;
     const object caps = part(settings, "caps"), domain = part(settings, "domain"),
@@ -73,16 +73,24 @@
     charter.fallMultiple = number(guarantees, "fall-multiple", 1);
     charter.onlyDrainingBinds = mark(guarantees, "drain-binds-alone");
 
+    // Zero would mean that no connection is ever in time; a second is what most clients of stores allow.
+    opening.connectWithin = nanosOf(number(caps, "connect-timeout-ms", 1000));
+    opening.idleLimit = nanosOf(number(caps, "idle-close-ms"));
+
     charter.storesCheck = word(domain, "guards") != "off";
     charter.catchUpWait = nanosOf(number(domain, "catch-up-wait-ms"));
     charter.marksKept = word(domain, "session-marks") == "kept";
     if (word(report, "how") != "off" && present(report, "fields"))
         for (element field : simdjson::dom::array(report["fields"])) {
             if (std::string_view(field) == "x1") charter.reportsTellRole = true;
+            opening.storesReport = true;
         }
     opening.origin = nanosOf(number(domain, "origin-time-ms"));
     opening.stamps = mark(domain, "stamps");
 
+    for (element zone : simdjson::dom::array(settings["azs"]))
+        opening.zones.emplace_back(std::string_view(zone));
+
     const auto needs = simdjson::dom::array(domain["read-level"]);
     const auto bounds = present(domain, "max-age-ms");
     std::size_t at = 0;
@@ -115,4 +123,4 @@
     return opening;
 }
 
-}  // namespace granitereel::adapter
+}  // namespace granitereel
--- /dev/null
+++ b/src/run/charter.hpp
@@ -0,0 +1,33 @@
+// Reads what the operators lay down, in the words of the wire, into the module's words.
+#pragma once
+
+#include <simdjson.h>
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "front.hpp"
+
+namespace granitereel {
+
+// Something at the start, or on the simulator's wire, says what it may not.
+struct Misread : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+Nanos nanosOf(double milliseconds);
+std::optional<simdjson::dom::element> present(const simdjson::dom::object& in, std::string_view name);
+
+// The charter, with the figures that only decoding and the network need.
+struct Opening {
+    Charter charter;
+    Nanos origin = 0;
+    bool stamps = false;
+    std::vector<std::string> zones;
+    Nanos connectWithin = 0, idleLimit = 0;
+    bool storesReport = false;
+};
+Opening readCharter(const simdjson::dom::object& settings);
+
+}  // namespace granitereel
--- /dev/null
+++ b/src/run/program.cpp
@@ -0,0 +1,133 @@
+#include "program.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace granitereel {
+
+namespace {
+
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+
+// Descriptors beside those for clients and stores: the program's own files and timers, the listener, two
+// calls to discovery, and some for clients that only get told that there is no room.
+constexpr std::size_t ownDescriptors = 24, spareDescriptors = 24;
+
+std::size_t forStores(std::size_t descriptors) {
+    // Two fifths: a launch needs one of each, and clients hold idle ones, too.
+    return (descriptors - ownDescriptors - spareDescriptors) * 2 / 5;
+}
+
+std::size_t forClients(std::size_t descriptors) {
+    return descriptors - ownDescriptors - spareDescriptors - forStores(descriptors);
+}
+
+// The last to stand in a lane's cut-off: how long a client may wait at most.
+Nanos longestCutOff(const Charter& charter) {
+    Nanos longest = 0;
+    for (const Lane& lane : charter.lanes) longest = std::max(longest, lane.cutOff);
+    return longest;
+}
+
+}  // namespace
+
+Program::Program(const Station& station)
+    : station_(station),
+      // Three eighths of the memory for what has come in; answers on their way out may take as much again.
+      budget_(station.memory / 8 * 3),
+      pool_(io_.get_executor(), forStores(station.descriptors), station.opening.idleLimit),
+      desk_(io_.get_executor(), clock_, station.opening.charter, station.seed),
+      stores_(io_.get_executor(), clock_, desk_, book_, pool_, budget_, station.opening.connectWithin,
+              station.opening.storesReport),
+      discovery_(io_.get_executor(), desk_, book_, station.opening.zones, station.discovery),
+      clients_(io_.get_executor(), clock_, desk_, stores_, budget_, station.opening.charter.lanes,
+               forClients(station.descriptors), forClients(station.descriptors) + spareDescriptors),
+      acceptor_(io_),
+      signals_(io_, SIGTERM, SIGINT) {}
+
+void Program::enter(Phase phase) {
+    static constexpr const char* names[] = {"starting", "serving", "leaving", "finishing", "over"};
+    phase_ = phase;
+    spdlog::info("{}: {}, {} in hand, {} clients", station_.name, names[static_cast<int>(phase)],
+                 desk_.inHand(), clients_.count());
+}
+
+asio::awaitable<void> Program::errands() {
+    for (;;) {
+        const std::vector<Errand> due = co_await desk_.tick();
+        for (const Errand& errand : due) {
+            if (const auto* probe = std::get_if<ProbeStore>(&errand))
+                asio::co_spawn(io_, stores_.probe(probe->store), asio::detached);
+            else if (const auto* hangUp = std::get_if<HangUp>(&errand))
+                pool_.hangUp(hangUp->store);
+            else if (std::holds_alternative<FollowList>(errand))
+                asio::co_spawn(io_, discovery_.follow(), asio::detached);
+            else
+                asio::co_spawn(io_, discovery_.ask(), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> Program::upkeep() {
+    asio::steady_timer pause(io_);
+    for (;;) {
+        // Once a second: idle limits are many seconds.
+        pause.expires_after(std::chrono::seconds(1));
+        co_await pause.async_wait(quietly);
+        pool_.sweep(clock_.now());
+    }
+}
+
+asio::awaitable<void> Program::untilOver() {
+    co_await signals_.async_wait(quietly);
+    const Nanos told = clock_.now();
+    // Clients may come for 0.7 s more. A front is not killed before its longest cut-off, of 3 s at most, and
+    // those 0.7 s are over; 0.3 s before that everything in hand gets its answer.
+    const Nanos closing = told + millis(700);
+    const Nanos last = told + std::min(longestCutOff(station_.opening.charter), millis(3000)) + millis(400);
+    enter(Phase::leaving);
+    clients_.leave();
+    asio::steady_timer pause(io_);
+    pause.expires_at(clock_.at(closing));
+    co_await pause.async_wait(quietly);
+    enter(Phase::finishing);
+    acceptor_.close();
+    clients_.leave();
+    for (bool givenUp = false; desk_.inHand() > 0 || clients_.count() > 0;) {
+        if (clock_.now() >= last && !std::exchange(givenUp, true)) desk_.giveUpAll();
+        // Answers need 100 ms at the most to be written; who has not taken them by then will not.
+        if (clock_.now() >= last + millis(100)) break;
+        pause.expires_after(std::chrono::milliseconds(10));
+        co_await pause.async_wait(quietly);
+    }
+    enter(Phase::over);
+    io_.stop();
+}
+
+void Program::run() {
+    enter(Phase::starting);
+    if (!station_.known.empty()) {
+        simdjson::dom::parser parser;
+        try {
+            discovery_.read(simdjson::dom::object(parser.parse(station_.known)));
+        } catch (const simdjson::simdjson_error& fault) {
+            spdlog::warn("known list: {}", fault.what());
+        }
+    }
+    acceptor_.open(station_.listen.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(station_.listen);
+    acceptor_.listen(1024);
+    asio::co_spawn(io_, errands(), asio::detached);
+    asio::co_spawn(io_, upkeep(), asio::detached);
+    asio::co_spawn(io_, clients_.listen(acceptor_), asio::detached);
+    asio::co_spawn(io_, untilOver(), asio::detached);
+    enter(Phase::serving);
+    io_.run();
+}
+
+}  // namespace granitereel
--- /dev/null
+++ b/src/run/program.hpp
@@ -0,0 +1,44 @@
+// The program from start to exit. It owns the parts, and passes through named phases.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "station.hpp"
+#include "wire/clients.hpp"
+#include "wire/discovery.hpp"
+
+namespace granitereel {
+
+class Program {
+public:
+    explicit Program(const Station& station);
+    // Serves until it is told to end. Throws boost::system::system_error where the address can't be had.
+    void run();
+
+private:
+    // starting: the list as last held is read. serving. leaving: told to end, but clients may not know yet.
+    // finishing: no new connections; what is in hand is brought to its end. over: nothing is left.
+    enum class Phase { starting, serving, leaving, finishing, over };
+    void enter(Phase phase);
+    asio::awaitable<void> errands();
+    asio::awaitable<void> upkeep();
+    asio::awaitable<void> untilOver();
+
+    const Station& station_;
+    asio::io_context io_{1};
+    Clock clock_;
+    Budget budget_;
+    AddressBook book_;
+    LinePool pool_;
+    Desk desk_;
+    Stores stores_;
+    Discovery discovery_;
+    Clients clients_;
+    tcp::acceptor acceptor_;
+    asio::signal_set signals_;
+    Phase phase_ = Phase::starting;
+    Nanos ownCutOff_ = 0;
+};
+
+}  // namespace granitereel
--- /dev/null
+++ b/src/wire/clients.cpp
@@ -0,0 +1,304 @@
+#include "clients.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+#include "postgres.hpp"
+#include "statement.hpp"
+
+namespace granitereel {
+
+namespace {
+
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+
+// A client that says nothing at first, or does not take its answer, is waited for this long: several times
+// what a slow link needs for a whole value.
+constexpr auto patience = std::chrono::seconds(10);
+// What may wait on one connection for its turn: two statements of the largest size, or many small ones.
+constexpr std::size_t mostWaitingBytes = 2 * postgres::longestMessage, mostWaiting = 128;
+
+std::optional<std::int64_t> wholeNumber(std::string_view text) {
+    std::int64_t value = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (fault != std::errc() || end != text.data() + text.size()) return {};
+    return value;
+}
+
+std::string errorAnswer(std::string_view code, std::string_view words, std::string_view detail = {}) {
+    std::string answer;
+    postgres::putError(answer, "ERROR", code, words, detail);
+    postgres::putReady(answer);
+    return answer;
+}
+
+std::string nackAnswer(std::string_view words, Nanos comeBackAfter = 0) {
+    return errorAnswer("53300", words, comeBackAfter > 0 ? std::to_string(comeBackAfter / millis(1)) : "");
+}
+
+}  // namespace
+
+Clients::Clients(asio::any_io_executor on, const Clock& clock, Desk& desk, Stores& stores, Budget& budget,
+                 const std::vector<Lane>& lanes, std::size_t most, std::size_t spare)
+    : on_(on), clock_(clock), desk_(desk), stores_(stores), budget_(budget), spare_(spare), table_(most) {
+    for (std::size_t i = 0; i < lanes.size(); ++i) {
+        lanes_[lanes[i].name] = static_cast<int>(i);
+        sessions_.push_back(lanes[i].need == Need::session || lanes[i].need == Need::write);
+    }
+}
+
+asio::awaitable<void> Clients::listen(tcp::acceptor& acceptor) {
+    while (acceptor.is_open()) {
+        // Past the most that are kept, the one quiet longest makes way; where none is quiet, spare
+        // descriptors allow an answer to a few.
+        if (table_.full()) table_.evict();
+        if (table_.full() && table_.count() >= spare_) {
+            asio::steady_timer pause(on_, std::chrono::milliseconds(5));
+            co_await pause.async_wait(quietly);
+            continue;
+        }
+        auto [fault, socket] = co_await acceptor.async_accept(quietly);
+        if (fault == asio::error::operation_aborted) co_return;
+        if (fault) {
+            // Out of descriptors or of memory: time for something to be closed.
+            asio::steady_timer pause(on_, std::chrono::milliseconds(5));
+            co_await pause.async_wait(quietly);
+            continue;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto client = std::make_shared<Client>(std::move(socket), budget_);
+        table_.add(*client);
+        client->surplus = table_.full();
+        asio::co_spawn(on_, read(client), asio::detached);
+    }
+}
+
+void Clients::leave() {
+    leaving_ = true;
+    table_.closeQuiet();
+}
+
+// Reads at least one byte; false at the end of the connection.
+asio::awaitable<bool> Clients::more(std::shared_ptr<Client> client, std::size_t whole) {
+    const auto room = client->inbox.room(whole);
+    if (room.empty()) {
+        ask(*client, {"", "53300", "no memory for a message of this size"});
+        co_return false;
+    }
+    const auto [fault, got] =
+        co_await client->socket.async_read_some(asio::buffer(room.data(), room.size()), quietly);
+    if (fault) {
+        client->gone = true;
+        co_return false;
+    }
+    client->inbox.filled(got);
+    table_.touch(*client);
+    co_return true;
+}
+
+// The startup; false where the connection is to end.
+asio::awaitable<bool> Clients::welcome(std::shared_ptr<Client> client) {
+    using namespace postgres;
+    for (;;) {
+        const std::string_view unread = client->inbox.unread();
+        const std::size_t length = startupLength(unread);
+        if (length == 0 || unread.size() < length) {
+            const bool read = co_await more(client, length);
+            if (!read) co_return false;
+            continue;
+        }
+        const std::uint32_t kind = number(unread.substr(4));
+        client->inbox.use(length);
+        if (kind == cancelRequest) co_return false;
+        if (kind == sslRequest || kind == gssRequest) {
+            const bool written = co_await write(client, "N");
+            if (!written) co_return false;
+            continue;
+        }
+        if (kind >> 16 != 3) throw Garbled("unsupported protocol version");
+        std::string hello;
+        using namespace std::string_view_literals;
+        putMessage(hello, 'R', "\0\0\0\0"sv);
+        putSetting(hello, "server_version", "15.0");
+        putSetting(hello, "server_encoding", "UTF8");
+        putSetting(hello, "client_encoding", "UTF8");
+        putSetting(hello, "integer_datetimes", "on");
+        putSetting(hello, "standard_conforming_strings", "on");
+        putMessage(hello, 'K', "\0\0\0\0\0\0\0\0"sv);
+        putReady(hello);
+        const bool written = co_await write(client, std::move(hello));
+        co_return written;
+    }
+}
+
+void Clients::ask(Client& client, Asked asked) {
+    client.waitingBytes += asked.statement.size();
+    client.waiting.push_back(std::move(asked));
+    client.bell.cancel();
+}
+
+// Takes in what has been read; false once the client may say nothing more.
+bool Clients::readAll(Client& client, std::size_t& wanted) {
+    using namespace postgres;
+    while (client.waitingBytes < mostWaitingBytes && client.waiting.size() < mostWaiting) {
+        const std::string_view unread = client.inbox.unread();
+        wanted = messageLength(unread);
+        if (wanted == 0 || unread.size() < wanted) return true;
+        std::string_view body = bodyOf(unread.substr(0, wanted));
+        const char letter = unread[0];
+        if (letter == 'X') return false;
+        if (letter != 'Q') {
+            ask(client, {"", "0A000", "simple queries only"});
+            return false;
+        }
+        const std::string_view text = takeText(body);
+        if (!body.empty()) throw Garbled("a query with something after its end");
+        ask(client, {std::string(text), "", ""});
+        client.inbox.use(wanted);
+    }
+    wanted = 0;
+    return true;
+}
+
+asio::awaitable<void> Clients::read(std::shared_ptr<Client> client) {
+    client->closeAt(Clock::Steady::now() + patience);
+    bool on = true;
+    try {
+        on = co_await welcome(client);
+    } catch (const postgres::Garbled& fault) {
+        on = false;
+        ask(*client, {"", "08P01", fault.what()});
+    }
+    client->release();
+    asio::co_spawn(on_, answerAll(client), asio::detached);
+    while (on) {
+        std::size_t wanted = 0;
+        try {
+            on = readAll(*client, wanted);
+        } catch (const postgres::Garbled& fault) {
+            ask(*client, {"", "08P01", fault.what()});
+            break;
+        }
+        if (!on) break;
+        if (client->waitingBytes >= mostWaitingBytes || client->waiting.size() >= mostWaiting) {
+            client->bell.expires_at(asio::steady_timer::time_point::max());
+            co_await client->bell.async_wait(quietly);
+            if (!client->socket.is_open()) break;
+            continue;
+        }
+        on = co_await more(client, wanted);
+    }
+    // The client is gone, has said good-bye or has been told of a fault, which ends what it asked before too
+    // unless that is answered in order first.
+    if (client->waiting.empty() || client->waiting.back().faultCode.empty()) client->gone = true;
+    if (client->gone && client->inHand) desk_.lapse(*client->inHand);
+    client->bell.cancel();
+}
+
+asio::awaitable<bool> Clients::write(std::shared_ptr<Client> client, std::string answer) {
+    client->closeAt(Clock::Steady::now() + patience);
+    const auto [fault, n] = co_await asio::async_write(client->socket, asio::buffer(answer), quietly);
+    client->release();
+    co_return !fault;
+}
+
+asio::awaitable<void> Clients::answerAll(std::shared_ptr<Client> client) {
+    for (;;) {
+        if (client->gone) break;
+        if (client->waiting.empty()) {
+            if (leaving_ && client->answered && client->inbox.unread().empty()) break;
+            client->bell.expires_at(asio::steady_timer::time_point::max());
+            co_await client->bell.async_wait(quietly);
+            continue;
+        }
+        Asked asked = std::move(client->waiting.front());
+        client->waiting.pop_front();
+        client->waitingBytes -= asked.statement.size();
+        client->busy = true;
+        client->bell.cancel();  // the reader may have waited for room
+        if (!asked.faultCode.empty()) {
+            std::string farewell;
+            postgres::putError(farewell, "FATAL", asked.faultCode, asked.fault);
+            co_await write(client, std::move(farewell));
+            break;
+        }
+        std::string reply = co_await answer(client, std::move(asked.statement));
+        client->inHand = nullptr;
+        if (client->gone) break;
+        const bool written = co_await write(client, std::move(reply));
+        client->busy = false;
+        client->answered = true;
+        table_.touch(*client);
+        if (!written || client->surplus) break;
+    }
+    client->close();
+}
+
+// What the comment of a statement says, as far as it is of use here.
+struct Clients::Known {
+    std::string_view id, lane, patience;
+    std::optional<std::int64_t> d, group, after;
+};
+
+asio::awaitable<std::string> Clients::answer(std::shared_ptr<Client> client, std::string statement) {
+    if (detail::trim(statement).empty()) {
+        std::string reply;
+        postgres::putMessage(reply, 'I', "");
+        postgres::putReady(reply);
+        co_return reply;
+    }
+    Known known;
+    bool whole = false, single = false, odd = false;
+    const std::string_view sql = readMarks(
+        statement,
+        [&](std::string_view name, std::string_view value) {
+            if (name == "id") known.id = value;
+            if (name == "c") known.lane = value;
+            if (name == "d") known.patience = value, known.d = wholeNumber(value);
+            if (name == "cluster") known.group = wholeNumber(value);
+            if (name == "after") known.after = wholeNumber(value), odd = odd || !known.after;
+        },
+        whole);
+    const std::string_view key = quotedKey(sql, single);
+    // An hour is more than any client waits; a position fits a time in nanoseconds.
+    const bool sound = whole && single && !odd && !known.id.empty() && known.id.size() <= 128 && known.d &&
+                       *known.d > 0 && *known.d <= 3'600'000 && known.group && *known.group >= 0 &&
+                       *known.group <= 1'000'000'000 &&
+                       (!known.after || (*known.after >= 0 && *known.after < 9'000'000'000'000));
+    if (!sound) co_return errorAnswer("08P01", "not a statement of the form that is served here");
+    const auto lane = lanes_.find(known.lane);
+    if (lane == lanes_.end()) co_return errorAnswer("22023", "unknown class");
+    if (client->surplus) co_return nackAnswer("too many connections");
+    std::optional<Nanos> mustSee;
+    if (known.after && *known.after > 0) mustSee = millis(*known.after);
+    const std::string user = sessions_[lane->second] ? std::string(key) : std::string();
+    auto ticket = desk_.take(std::string(known.id), lane->second, user, millis(*known.d),
+                             static_cast<int>(*known.group), mustSee);
+    if (!ticket) co_return errorAnswer("22023", "unknown group, or an id that is in hand");
+    client->inHand = ticket;
+
+    const std::size_t from = static_cast<std::size_t>(known.patience.data() - statement.data());
+    const Outgoing outgoing{std::string_view(statement).substr(0, from),
+                            std::string_view(statement).substr(from + known.patience.size())};
+    std::string reply;
+    for (;;) {
+        const Step step = co_await desk_.pick(*ticket);
+        if (const auto* launched = std::get_if<Launched>(&step)) {
+            co_await stores_.launch(launched->store, launched->until, outgoing, ticket, reply);
+        } else if (const auto* nacked = std::get_if<Nacked>(&step)) {
+            co_return nackAnswer("come again", nacked->comeBackAfter);
+        } else if (std::holds_alternative<WrittenOff>(step)) {
+            co_return errorAnswer("40003", "no answer; it may have run");
+        } else {
+            postgres::putReady(reply);
+            co_return reply;
+        }
+    }
+}
+
+}  // namespace granitereel
--- /dev/null
+++ b/src/wire/clients.hpp
@@ -0,0 +1,46 @@
+// Speaks to clients: takes their connections, reads what they ask and answers in order.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include "facade/desk.hpp"
+#include "memory/clients.hpp"
+#include "wire/stores.hpp"
+
+namespace granitereel {
+
+class Clients {
+public:
+    Clients(asio::any_io_executor on, const Clock& clock, Desk& desk, Stores& stores, Budget& budget,
+            const std::vector<Lane>& lanes, std::size_t most, std::size_t spare);
+
+    // Takes connections until the acceptor is closed.
+    asio::awaitable<void> listen(tcp::acceptor& acceptor);
+    // From now on each connection is closed once it is quiet.
+    void leave();
+    std::size_t count() const { return table_.count(); }
+
+private:
+    struct Known;
+    asio::awaitable<void> read(std::shared_ptr<Client> client);
+    asio::awaitable<bool> welcome(std::shared_ptr<Client> client);
+    asio::awaitable<bool> more(std::shared_ptr<Client> client, std::size_t whole);
+    asio::awaitable<void> answerAll(std::shared_ptr<Client> client);
+    asio::awaitable<std::string> answer(std::shared_ptr<Client> client, std::string statement);
+    asio::awaitable<bool> write(std::shared_ptr<Client> client, std::string answer);
+    void ask(Client& client, Asked asked);
+    bool readAll(Client& client, std::size_t& wanted);
+
+    asio::any_io_executor on_;
+    const Clock& clock_;
+    Desk& desk_;
+    Stores& stores_;
+    Budget& budget_;
+    std::map<std::string, int, std::less<>> lanes_;
+    std::vector<bool> sessions_;  // by lane: whether the key names a session
+    std::size_t spare_;
+    ClientTable table_;
+    bool leaving_ = false;
+};
+
+}  // namespace granitereel
--- /dev/null
+++ b/src/wire/stores.cpp
@@ -0,0 +1,257 @@
+#include "stores.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <cmath>
+
+#include "postgres.hpp"
+
+namespace granitereel {
+
+namespace {
+
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+
+template <class Number>
+std::optional<Number> numberIn(std::string_view text) {
+    Number value{};
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (fault != std::errc() || end != text.data() + text.size()) return {};
+    return value;
+}
+
+// A position tells what is applied: nothing before 1970, and nothing that lies ahead by more than rounding
+// and a report's way may explain.
+std::optional<Nanos> believable(double nanos, Nanos now) {
+    if (!std::isfinite(nanos) || nanos < 0 || nanos > double(now) + 1e9) return {};
+    return static_cast<Nanos>(nanos);
+}
+
+}  // namespace
+
+Report readReport(std::string_view text, Nanos now) {
+    Report report;
+    while (!text.empty()) {
+        const std::size_t comma = text.find(',');
+        const std::string_view entry = text.substr(0, comma);
+        text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+        const std::size_t equals = entry.find('=');
+        if (equals == std::string_view::npos) continue;
+        const auto value = numberIn<double>(entry.substr(equals + 1));
+        if (!value || !std::isfinite(*value)) continue;
+        if (entry.substr(0, equals) == "x0") report.position = believable(std::floor(*value * 1e9), now);
+        if (entry.substr(0, equals) == "x1") report.primary = *value >= 0.5;
+    }
+    return report;
+}
+
+// What has been heard on a connection since its statement was written, or since it was opened.
+struct Stores::Heard {
+    bool row = false, whole = false, ready = false, garbled = false;
+    std::string answer, value, code;
+    Role role = Role::unknown;
+    std::optional<Nanos> position;
+    std::optional<Report> report;
+};
+
+// Reads until the store is ready for the next statement, or the connection ends.
+asio::awaitable<void> Stores::hear(std::shared_ptr<Line> line, Heard& heard) {
+    using namespace postgres;
+    for (;;) {
+        std::size_t wanted = 0;
+        try {
+            for (;;) {
+                const std::string_view unread = line->inbox.unread();
+                wanted = messageLength(unread);
+                if (wanted == 0 || unread.size() < wanted) break;
+                const std::string_view message = unread.substr(0, wanted);
+                std::string_view body = bodyOf(message);
+                switch (message[0]) {
+                    case 'S': {
+                        const std::string_view name = takeText(body), value = takeText(body);
+                        if (name == "role")
+                            heard.role = value == "primary"   ? Role::primary
+                                         : value == "replica" ? Role::replica
+                                                              : Role::unknown;
+                        if (name == "applied_ms")
+                            if (const auto ms = numberIn<double>(value))
+                                heard.position = believable(*ms * 1e6, clock_.now());
+                        if (name == "load") heard.report = readReport(value, clock_.now());
+                        break;
+                    }
+                    case 'D':
+                        if (heard.row) throw Garbled("a second row");
+                        heard.row = true;
+                        if (const auto value = onlyColumn(body)) heard.value = value->substr(0, 1024);
+                        [[fallthrough]];
+                    case 'T':
+                        heard.answer += message;
+                        break;
+                    case 'C':
+                        heard.answer += message;
+                        heard.whole = heard.row;
+                        break;
+                    case 'E':
+                        heard.code = errorField(body, 'C');
+                        if (const auto severity = errorField(body, 'S');
+                            severity == "FATAL" || severity == "PANIC")
+                            co_return;  // the store ends the connection, and says no more
+                        break;
+                    case 'R':
+                        if (body.size() < 4 || number(body) != 0) throw Garbled("asks for a password");
+                        break;
+                    case 'Z':
+                        heard.ready = true;
+                        line->inbox.use(wanted);
+                        co_return;
+                    case 'I':
+                    case 'K':
+                    case 'N':
+                        break;
+                    default:
+                        throw Garbled("message of an unknown kind");
+                }
+                line->inbox.use(wanted);
+            }
+        } catch (const Garbled&) {
+            heard.garbled = true;
+            co_return;
+        }
+        const auto room = line->inbox.room(wanted);
+        if (room.empty()) co_return;  // no memory for it: as if the connection had broken
+        const auto [fault, got] =
+            co_await line->socket.async_read_some(asio::buffer(room.data(), room.size()), quietly);
+        if (fault) co_return;
+        line->inbox.filled(got);
+    }
+}
+
+asio::awaitable<bool> Stores::connect(std::shared_ptr<Line> line, Nanos until, Heard& heard) {
+    const auto address = book_.find(line->store);
+    if (address == book_.end()) co_return false;
+    line->closeAt(clock_.at(std::min(until, clock_.now() + connectWithin_)));
+    const tcp::endpoint to = address->second;
+    const auto [fault] = co_await line->socket.async_connect(to, quietly);
+    if (fault) co_return false;
+    boost::system::error_code ignored;
+    line->socket.set_option(tcp::no_delay(true), ignored);
+    const std::string hello = postgres::startupMessage();
+    const auto [unwritten, n] = co_await asio::async_write(line->socket, asio::buffer(hello), quietly);
+    if (unwritten) co_return false;
+    co_await hear(line, heard);
+    co_return heard.ready&& heard.code.empty() && !line->overdue;
+}
+
+// A connection that is ready for a statement; null if there is none in time.
+asio::awaitable<std::shared_ptr<Line>> Stores::reach(std::string store, Nanos until, Ticket* ticket,
+                                                     Heard& heard) {
+    std::shared_ptr<Line> line = pool_.take(store, clock_.now());
+    const bool fresh = !line;
+    if (fresh) line = pool_.make(store, budget_);
+    if (!line) co_return nullptr;
+    line->calledBack = line->overdue = false;
+    if (ticket)
+        ticket->onCallBack([at = std::weak_ptr<Line>(line)] {
+            if (auto held = at.lock()) held->abandon();
+        });
+    if (fresh && !line->calledBack) {
+        const bool up = co_await connect(line, until, heard);
+        line->release();
+        if (!up && !line->calledBack) co_return nullptr;
+    }
+    co_return line;
+}
+
+void Stores::keep(std::shared_ptr<Line> line, const Heard& heard) {
+    line->release();
+    if (!heard.ready || line->overdue || line->calledBack || !line->inbox.unread().empty()) return;
+    pool_.put(std::move(line), clock_.now());
+}
+
+asio::awaitable<void> Stores::launch(std::string store, Nanos until, Outgoing statement,
+                                     std::shared_ptr<Ticket> ticket, std::string& answer) {
+    Result result;
+    Heard heard;
+    std::shared_ptr<Line> line = co_await reach(store, until, ticket.get(), heard);
+    if (!line) {
+        // Nothing was written, so it never ran.
+        result.how = heard.code == "53300"   ? Ending::full
+                     : clock_.now() >= until ? Ending::unsent
+                                             : Ending::unreachable;
+    } else if (line->calledBack) {
+        result.how = Ending::cancelled;
+    } else if (clock_.now() >= until || !desk_.mayStillGo(*ticket)) {
+        result.how = Ending::unsent;
+        heard = {};
+        heard.ready = true;
+        keep(line, heard);
+    } else {
+        heard = {};
+        // Rounded up, as what is left of a millisecond is still waited for.
+        const std::string d = std::to_string((until - clock_.now() + millis(1) - 1) / millis(1));
+        const std::size_t length = statement.before.size() + d.size() + statement.after.size() + 1;
+        const std::string head = postgres::queryHead(length);
+        const std::array<asio::const_buffer, 5> pieces = {asio::buffer(head), asio::buffer(statement.before),
+                                                          asio::buffer(d), asio::buffer(statement.after),
+                                                          asio::buffer("", 1)};
+        line->closeAt(clock_.at(until));
+        const auto [unwritten, n] = co_await asio::async_write(line->socket, pieces, quietly);
+        if (!unwritten) co_await hear(line, heard);
+        if (heard.whole)
+            result.how = Ending::delivered;
+        else if (heard.code == "53300")
+            result.how = Ending::full;
+        else if (heard.code == "25006" || heard.code == "72000")
+            result.how = Ending::missed;
+        else if (!heard.code.empty())
+            result.how = Ending::error;
+        else if (line->calledBack)
+            result.how = Ending::cancelled;
+        else if (line->overdue)
+            result.how = unwritten ? Ending::unsent : Ending::timedOut;
+        else
+            result.how = unwritten ? Ending::unreachable : Ending::broken;
+        result.role = heard.role;
+        result.position = heard.position;
+        result.report = heard.report;
+        answer = std::move(heard.answer);
+        keep(line, heard);
+    }
+    line.reset();
+    ticket->onCallBack(nullptr);
+    desk_.report(*ticket, result);
+}
+
+asio::awaitable<void> Stores::probe(std::string store) {
+    const Nanos until = clock_.now() + connectWithin_;
+    Heard heard;
+    Ending how = Ending::unreachable;
+    std::optional<Report> report;
+    std::shared_ptr<Line> line = co_await reach(store, until, nullptr, heard);
+    if (!line) {
+        if (heard.code == "53300") how = Ending::full;
+    } else {
+        heard = {};
+        std::string query;
+        using namespace std::string_view_literals;
+        postgres::putMessage(query, 'Q', reports_ ? "SHOW load\0"sv : "SELECT 1\0"sv);
+        line->closeAt(clock_.at(until));
+        const auto [unwritten, n] = co_await asio::async_write(line->socket, asio::buffer(query), quietly);
+        if (!unwritten) co_await hear(line, heard);
+        if (heard.whole) {
+            how = Ending::delivered;
+            if (reports_) report = readReport(heard.value, clock_.now());
+        } else if (!heard.code.empty()) {
+            how = heard.code == "53300" ? Ending::full : Ending::error;
+        } else {
+            how = line->overdue ? Ending::timedOut : Ending::broken;
+        }
+        keep(line, heard);
+    }
+    line.reset();
+    desk_.probed(store, how, report);
+}
+
+}  // namespace granitereel
--- /dev/null
+++ b/src/wire/stores.hpp
@@ -0,0 +1,56 @@
+// Speaks to stores: launches and probes, each on a connection of its own while it lasts.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include "facade/desk.hpp"
+#include "memory/stores.hpp"
+
+namespace granitereel {
+
+// A statement as it goes out: the client's own text, with another `d`.
+struct Outgoing {
+    std::string_view before, after;  // of the digits of `d`
+};
+
+class Stores {
+public:
+    Stores(asio::any_io_executor on, const Clock& clock, Desk& desk, const AddressBook& book, LinePool& pool,
+           Budget& budget, Nanos connectWithin, bool reports)
+        : on_(on),
+          clock_(clock),
+          desk_(desk),
+          book_(book),
+          pool_(pool),
+          budget_(budget),
+          connectWithin_(connectWithin),
+          reports_(reports) {}
+
+    // Launches, waits for the ending and reports it. The answer, where delivered, is written to `answer` as
+    // the store sent it.
+    asio::awaitable<void> launch(std::string store, Nanos until, Outgoing statement,
+                                 std::shared_ptr<Ticket> ticket, std::string& answer);
+    asio::awaitable<void> probe(std::string store);
+
+private:
+    struct Heard;
+    asio::awaitable<bool> connect(std::shared_ptr<Line> line, Nanos until, Heard& heard);
+    asio::awaitable<std::shared_ptr<Line>> reach(std::string store, Nanos until, Ticket* ticket,
+                                                 Heard& heard);
+    asio::awaitable<void> hear(std::shared_ptr<Line> line, Heard& heard);
+    void keep(std::shared_ptr<Line> line, const Heard& heard);
+
+    asio::any_io_executor on_;
+    const Clock& clock_;
+    Desk& desk_;
+    const AddressBook& book_;
+    LinePool& pool_;
+    Budget& budget_;
+    Nanos connectWithin_;
+    bool reports_;
+};
+
+// What a report says, told as 'name=value,...'. Figures that can't be are passed over.
+Report readReport(std::string_view text, Nanos now);
+
+}  // namespace granitereel
