--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -969,9 +969,9 @@
     return lane.reach != Reach::zone || store.zone == t.boundZone;
 }
 
-// Between the pick and the first byte on the wire lies the connecting. It guards against a list or an answer
-// that comes meanwhile, and against a position that has grown too old; it should also catch any other pause of
-// the caller. It costs a launch of the few a transaction has.
+// Between the pick and the first byte on the wire lies the connecting. It guards against a list or an
+// answer that comes meanwhile, and against a position that has grown too old; it should also catch any other
+// pause of the caller. It costs a launch of the few that a transaction has.
 bool Front::mayStillGo(const std::string& id, const std::string& storeId) const {
     const auto transaction = transactions_.find(id);
     const auto found = stores_.find(storeId);
