--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -311,6 +311,8 @@
 // The first trial of a doubtful store comes soon, since most troubles of a store are short; each later one
 // after twice the pause.
 constexpr Nanos firstTrial = millis(250);
+// Between two rounds of the front's own clockwork: a small part of any goal time.
+constexpr Nanos roundTime = millis(20);
 }  // namespace
 
 double Front::workOf(int lane) {
@@ -669,6 +671,7 @@
     store.out.push_back({t.id, t.launches++, t.lane, now_, false});
     watch(store);
     ++t.out;
+    ++t.arrivedThere;
     ++store.load[tierOf(lane)];
     const Nanos turn = static_cast<Nanos>(workOf(t.lane) / store.window);
     store.paidUntil = std::max(store.paidUntil, now_ - 2 * turn) + turn;
@@ -714,6 +717,7 @@
     if (it != transactions_.end()) {
         Transaction& t = *it->second;
         --t.out;
+        if (how == Ending::unreachable || how == Ending::unsent) --t.arrivedThere;
         if (how == Ending::delivered && position && marksKept_ && lanes_[t.lane].need == Need::write) {
             // Two generations of marks bound the memory; a forgotten one is answered by the newest of
             // its generation, which asks for more than needed. 20,000 is some minutes of writes.
@@ -837,6 +841,11 @@
     // With less than the usual time left, two in three would come too late. Two ticks for the way back.
     const Nanos soonest = now_ + static_cast<Nanos>(workOf(t.lane)) + 2 * tick_;
     if (soonest > t.cutOff || (lane.lateShare <= 0 && soonest > t.goal)) return true;
+    // What has waited here past its goal time and for half its time, and reached no store, would mostly wait
+    // on in vain; its client asks again sooner if it is told now. It guards against groups without a primary,
+    // and should catch any store that takes nothing. It may hurt where the wait would have ended just after.
+    const Nanos half = t.arrived + (t.cutOff - t.arrived) / 2;
+    if (t.arrivedThere == 0 && soonest > t.goal && now_ + roundTime + 2 * tick_ > half) return true;
     return lane.effect == Effect::stamped && t.mayHaveRunSince && now_ >= t.mayHaveRunSince + lane.window;
 }
 
@@ -908,10 +917,10 @@
     if (primary && position) tellRole(*store, *primary ? Role::primary : Role::replica, *position, false);
 }
 
-// The front's own clockwork, every 20 ms: a small part of any goal time. It looks at what may need it alone,
-// as a front may know hundreds of stores and use few of them at a time.
+// The front's own clockwork. It looks at what may need it alone, as a front may know hundreds of stores and
+// use few of them at a time.
 void Front::round() {
-    out_.wake(now_ + millis(20), 0);
+    out_.wake(now_ + roundTime, 0);
     tendList();
     std::erase_if(watched_, [](Store* s) {
         s->watched = s->standing == Standing::up && (!s->out.empty() || s->awaySince);
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -168,6 +168,7 @@
     Group* group = nullptr;
     Nanos arrived = 0, goal = 0, cutOff = 0, mustSee = 0;
     int launches = 0, out = 0;
+    int arrivedThere = 0;  // launches that have reached a store, or still may
     Nanos mayHaveRunSince = 0;  // send of the first launch that may have run; 0: none may have
     int boundZone = -1;
     bool held = false;
--- a/tests/launch.cpp
+++ b/tests/launch.cpp
@@ -95,7 +95,54 @@
     assert(a.out.empty() && a.load[0] == 0);
 }
 
+// What has reached no store is told so by half of its time, once its goal time has passed; what was turned
+// away by a store may go on waiting.
+void waitsInVainForHalfItsTime() {
+    for (const bool reached : {false, true}) {
+        Bench b;
+        b.primary("p").awaySince = b.now;
+        Transaction& t = b.transaction(pay);
+        t.arrivedThere = reached;
+        b.route(t);
+        b.pass(900);
+        b.front.woke(0);
+        assert(b.known("t"));
+        b.pass(80);
+        b.front.woke(0);
+        assert(b.known("t") == reached && b.notes.count("nack t") == !reached);
+    }
+}
+
+// Connecting takes a while: a launch that the list, an answer or the age of a position has overtaken stays.
+void overtakenLaunchStays() {
+    Bench b;
+    Store& a = b.store("a", Pool::premium);
+    b.launch(b.transaction(look), a);
+    assert(b.front.mayStillGo("t", "a") && !b.front.mayStillGo("u", "a") && !b.front.mayStillGo("t", "b"));
+    b.pass(301);
+    assert(!b.front.mayStillGo("t", "a"));
+    a.position = b.now;
+    assert(b.front.mayStillGo("t", "a"));
+    a.standing = Standing::draining;
+    assert(!b.front.mayStillGo("t", "a"));
+}
+
+// A front that ends gives every answer: a nack only where that is harmless.
+void givesUpAtTheEnd() {
+    Bench b;
+    Store& p = b.primary("p");
+    b.launch(b.transaction(pay, "t"), p);
+    b.front.giveUp("t");
+    b.route(b.transaction(look, "u"));
+    b.front.giveUp("u");
+    b.front.giveUp("unknown");
+    assert(b.notes.count("write off t") == 1 && b.notes.count("nack u") == 1 && !b.known("t") && !b.known("u"));
+}
+
 int main() {
+    waitsInVainForHalfItsTime();
+    overtakenLaunchStays();
+    givesUpAtTheEnd();
     harmlessGoesElsewhere();
     refusedWriteWaits();
     writesWaitForANewPrimary();
