Close clients only where nothing is on its way; open the watch also where lists come by push

At fault: Clients::answerAll, which ended such connections behind a ReadyForQuery, and ClientTable, which did not look for bytes that had come and were not read. Refusals beyond the limit are now FATAL, and only connections without unread bytes are closed; the end of the program closes them the same way.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -56,8 +56,9 @@
     step_ = 4.0 / (fronts_ * fronts_);
     // Clients that heed advice are asked to stay away a tenth of the longest they would heed.
     advice_ = charter.adviceHeard ? charter.longestAdvice / 10 : 0;
-    // The list is asked again after 0.7 of the time in which silence counts as having been told.
-    askEvery_ = charter.askWithin * 7 / 10;
+    // The list is asked again after 0.7 of the time in which silence counts as having been told; where none
+    // is stated, of ten seconds, as a list that comes by itself is seldom later.
+    askEvery_ = (charter.askWithin > 0 ? charter.askWithin : millis(10'000)) * 7 / 10;
     // Premium covers the read lanes of the highest worth (step 2 of the design): the gain for each second of
     // goal time, as a lane that may take long can do with what the others leave.
     auto worth = [](const Lane& lane) { return lane.gain / double(std::max<Nanos>(lane.goalTime, 1)); };
--- a/src/memory/clients.hpp
+++ b/src/memory/clients.hpp
@@ -34,7 +34,8 @@
     void closeAt(asio::steady_timer::time_point when);
     void release();
     void close();
-    bool quiet() const { return !busy && waiting.empty() && inbox.unread().empty(); }
+    // Nothing is asked of the front here, not even in bytes that it has yet to read, and was not for a while.
+    bool quietFor(std::chrono::milliseconds span);
     // Nobody counts it any more.
     void leaveTable();
 
@@ -44,7 +45,7 @@
     std::size_t waitingBytes = 0;
     asio::steady_timer bell, limit;  // the bell rings when something is asked, answered or over
     std::shared_ptr<Ticket> inHand;
-    bool answered = false, busy = false, gone = false, surplus = false;
+    bool busy = false, gone = false, surplus = false;
     unsigned turn = 0;
     std::chrono::steady_clock::time_point heard = std::chrono::steady_clock::now();
     std::list<Client*>* kept = nullptr;
@@ -61,7 +62,7 @@
     bool full() const { return all_.size() > most_; }
     // Closes the one that has been quiet longest, if it was so for long enough that no request is on its way.
     void evict();
-    void closeQuiet();
+    void closeQuiet(std::chrono::milliseconds span);
 
 private:
     std::size_t most_;
--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -90,17 +90,18 @@
     const Nanos closing = told + millis(700);
     const Nanos last = told + std::min(longestCutOff(station_.opening.charter), millis(3000)) + millis(400);
     enter(Phase::leaving);
-    clients_.leave();
     asio::steady_timer pause(io_);
-    pause.expires_at(clock_.at(closing));
-    co_await pause.async_wait(quietly);
-    enter(Phase::finishing);
-    acceptor_.close();
-    clients_.leave();
-    for (bool givenUp = false; desk_.inHand() > 0 || clients_.count() > 0;) {
-        if (clock_.now() >= last && !std::exchange(givenUp, true)) desk_.giveUpAll();
+    bool givenUp = false;
+    while (desk_.inHand() > 0 || clients_.count() > 0 || clock_.now() < closing) {
+        const Nanos now = clock_.now();
+        if (now >= closing && phase_ == Phase::leaving) {
+            enter(Phase::finishing);
+            acceptor_.close();
+        }
+        clients_.closeQuiet();
+        if (now >= last && !std::exchange(givenUp, true)) desk_.giveUpAll();
         // Answers need 100 ms at the most to be written; who has not taken them by then will not.
-        if (clock_.now() >= last + millis(100)) break;
+        if (now >= last + millis(100)) break;
         pause.expires_after(std::chrono::milliseconds(10));
         co_await pause.async_wait(quietly);
     }
--- a/src/run/station.cpp
+++ b/src/run/station.cpp
@@ -52,6 +52,8 @@
         station.discovery = address(chosen(told.discovery, file, "discovery"), "discovery");
         station.seed = seedOf(file);
         station.opening = readCharter(simdjson::dom::object(file["settings"]));
+        // Where the simulator brings changes by themselves, a front on sockets still has to open the watch.
+        station.opening.charter.mustAsk = true;
         if (const auto known = present(file, "known")) station.known = simdjson::minify(*known);
 
         // Without limits in the file, a small machine's.
--- a/src/wire/clients.cpp
+++ b/src/wire/clients.cpp
@@ -78,9 +78,10 @@
     }
 }
 
-void Clients::leave() {
-    leaving_ = true;
-    table_.closeQuiet();
+void Clients::closeQuiet() {
+    // A client that has just had its answer or its welcome may be asking already; the way here and back is a
+    // few milliseconds.
+    table_.closeQuiet(std::chrono::milliseconds(50));
 }
 
 // Reads at least one byte; false at the end of the connection.
@@ -211,7 +212,6 @@
     for (;;) {
         if (client->gone) break;
         if (client->waiting.empty()) {
-            if (leaving_ && client->answered && client->inbox.unread().empty()) break;
             client->bell.expires_at(asio::steady_timer::time_point::max());
             co_await client->bell.async_wait(quietly);
             continue;
@@ -221,6 +221,9 @@
         client->waitingBytes -= asked.statement.size();
         client->busy = true;
         client->bell.cancel();  // the reader may have waited for room
+        // The client must not take a connection that ends for one that it may use again.
+        if (client->surplus && !detail::trim(asked.statement).empty())
+            asked.faultCode = "53300", asked.fault = "too many connections";
         if (!asked.faultCode.empty()) {
             std::string farewell;
             postgres::putError(farewell, "FATAL", asked.faultCode, asked.fault);
@@ -232,9 +235,8 @@
         if (client->gone) break;
         const bool written = co_await write(client, std::move(reply));
         client->busy = false;
-        client->answered = true;
         table_.touch(*client);
-        if (!written || client->surplus) break;
+        if (!written) break;
     }
     client->close();
 }
@@ -273,7 +275,6 @@
     if (!sound) co_return errorAnswer("08P01", "not a statement of the form that is served here");
     const auto lane = lanes_.find(known.lane);
     if (lane == lanes_.end()) co_return errorAnswer("22023", "unknown class");
-    if (client->surplus) co_return nackAnswer("too many connections");
     std::optional<Nanos> mustSee;
     if (known.after && *known.after > 0) mustSee = millis(*known.after);
     const std::string user = sessions_[lane->second] ? std::string(key) : std::string();
--- a/src/wire/clients.hpp
+++ b/src/wire/clients.hpp
@@ -16,8 +16,8 @@
 
     // Takes connections until the acceptor is closed.
     asio::awaitable<void> listen(tcp::acceptor& acceptor);
-    // From now on each connection is closed once it is quiet.
-    void leave();
+    // Closes the connections on which nothing is asked.
+    void closeQuiet();
     std::size_t count() const { return table_.count(); }
 
 private:
@@ -40,7 +40,6 @@
     std::vector<bool> sessions_;  // by lane: whether the key names a session
     std::size_t spare_;
     ClientTable table_;
-    bool leaving_ = false;
 };
 
 }  // namespace granitereel
