--- a/src/memory/clients.hpp
+++ b/src/memory/clients.hpp
@@ -21,6 +21,7 @@
 struct Asked {
     std::string statement;
     std::string faultCode, fault;
+    Claim claim = {};
 };
 
 struct Client : std::enable_shared_from_this<Client> {
--- a/src/memory/inbox.hpp
+++ b/src/memory/inbox.hpp
@@ -1,11 +1,13 @@
 // Bytes that have come in and are not yet used up, and the one budget that all of them share.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstring>
 #include <memory>
 #include <span>
 #include <string_view>
+#include <utility>
 
 namespace granitereel {
 
@@ -23,6 +25,28 @@
     std::size_t limit_, held_ = 0;
 };
 
+// A part of the budget, given back with the object.
+class Claim {
+public:
+    Claim() = default;
+    Claim(Budget& budget, std::size_t bytes)
+        : budget_(budget.take(bytes) ? &budget : nullptr), bytes_(bytes) {}
+    Claim(Claim&& other) noexcept : budget_(std::exchange(other.budget_, nullptr)), bytes_(other.bytes_) {}
+    Claim& operator=(Claim&& other) noexcept {
+        std::swap(budget_, other.budget_);
+        std::swap(bytes_, other.bytes_);
+        return *this;
+    }
+    ~Claim() {
+        if (budget_) budget_->give(bytes_);
+    }
+    explicit operator bool() const { return budget_; }
+
+private:
+    Budget* budget_ = nullptr;
+    std::size_t bytes_ = 0;
+};
+
 class Inbox {
 public:
     explicit Inbox(Budget& budget) : budget_(budget) {}
--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -123,10 +123,14 @@
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(station_.listen);
     acceptor_.listen(1024);
-    asio::co_spawn(io_, errands(), asio::detached);
-    asio::co_spawn(io_, upkeep(), asio::detached);
-    asio::co_spawn(io_, clients_.listen(acceptor_), asio::detached);
-    asio::co_spawn(io_, untilOver(), asio::detached);
+    // None of these may end by a fault while the rest goes on.
+    const auto orEnd = [](std::exception_ptr fault) {
+        if (fault) std::rethrow_exception(fault);
+    };
+    asio::co_spawn(io_, errands(), orEnd);
+    asio::co_spawn(io_, upkeep(), orEnd);
+    asio::co_spawn(io_, clients_.listen(acceptor_), orEnd);
+    asio::co_spawn(io_, untilOver(), orEnd);
     enter(Phase::serving);
     io_.run();
 }
--- a/src/wire/clients.cpp
+++ b/src/wire/clients.cpp
@@ -138,6 +138,8 @@
 }
 
 void Clients::ask(Client& client, Asked asked) {
+    asked.claim = Claim(budget_, asked.statement.size());
+    if (!asked.claim) asked = {"", "53300", "no memory for what is asked"};
     client.waitingBytes += asked.statement.size();
     client.waiting.push_back(std::move(asked));
     client.bell.cancel();
@@ -161,6 +163,7 @@
         if (!body.empty()) throw Garbled("a query with something after its end");
         ask(client, {std::string(text), "", ""});
         client.inbox.use(wanted);
+        if (!client.waiting.back().faultCode.empty()) return false;
     }
     wanted = 0;
     return true;
--- a/tests/input.cpp
+++ b/tests/input.cpp
@@ -94,6 +94,24 @@
     }
 }
 
+// What has come in never takes more than the budget, and gives back what it took.
+void memoryIsBounded() {
+    Budget budget(20'000);
+    {
+        Inbox inbox(budget);
+        assert(inbox.room(10'000).size() >= 10'000);
+        inbox.filled(10'000);
+        const Claim claim(budget, 9'000), refused(budget, 9'000);
+        assert(claim && !refused && inbox.room(15'000).empty());
+        inbox.use(9'990);
+        assert(inbox.unread().size() == 10 && inbox.room(9'000).size() >= 8'990);
+        inbox.use(10);
+        assert(budget.take(10'000));
+        budget.give(10'000);
+    }
+    assert(budget.take(20'000) && !budget.take(1));
+}
+
 // Each client that speaks nonsense gets its error, none of it reaches a store, and others are served.
 void clientsThatSpeakNonsense() {
     Stage stage;
@@ -177,6 +195,7 @@
     statements();
     messages();
     reports();
+    memoryIsBounded();
     clientsThatSpeakNonsense();
     storesThatSpeakNonsense();
 }
