--- a/src/memory/clients.hpp
+++ b/src/memory/clients.hpp
@@ -47,6 +47,7 @@
     asio::steady_timer bell, limit;  // the bell rings when something is asked, answered or over
     std::shared_ptr<Ticket> inHand;
     bool busy = false, gone = false, surplus = false;
+    bool deaf = false;  // it gets a last answer, and what it says from then on is passed over
     unsigned turn = 0;
     std::chrono::steady_clock::time_point heard = std::chrono::steady_clock::now();
     std::list<Client*>* kept = nullptr;
--- a/src/wire/clients.cpp
+++ b/src/wire/clients.cpp
@@ -140,6 +140,7 @@
 void Clients::ask(Client& client, Asked asked) {
     asked.claim = Claim(budget_, asked.statement.size());
     if (!asked.claim) asked = {"", "53300", "no memory for what is asked"};
+    if (!asked.faultCode.empty()) client.deaf = true;
     client.waitingBytes += asked.statement.size();
     client.waiting.push_back(std::move(asked));
     client.bell.cancel();
@@ -157,13 +158,13 @@
         if (letter == 'X') return false;
         if (letter != 'Q') {
             ask(client, {"", "0A000", "simple queries only"});
-            return false;
+            return true;
         }
         const std::string_view text = takeText(body);
         if (!body.empty()) throw Garbled("a query with something after its end");
         ask(client, {std::string(text), "", ""});
         client.inbox.use(wanted);
-        if (!client.waiting.back().faultCode.empty()) return false;
+        if (client.deaf) return true;
     }
     wanted = 0;
     return true;
@@ -175,20 +176,18 @@
     try {
         on = co_await welcome(client);
     } catch (const postgres::Garbled& fault) {
-        on = false;
         ask(*client, {"", "08P01", fault.what()});
     }
     client->release();
     asio::co_spawn(on_, answerAll(client), asio::detached);
-    while (on) {
+    while (on && !client->deaf) {
         std::size_t wanted = 0;
         try {
             on = readAll(*client, wanted);
         } catch (const postgres::Garbled& fault) {
             ask(*client, {"", "08P01", fault.what()});
-            break;
         }
-        if (!on) break;
+        if (!on || client->deaf) break;
         if (client->waitingBytes >= mostWaitingBytes || client->waiting.size() >= mostWaiting) {
             client->bell.expires_at(asio::steady_timer::time_point::max());
             co_await client->bell.async_wait(quietly);
@@ -197,13 +196,23 @@
         }
         on = co_await more(client, wanted);
     }
-    // The client is gone, has said good-bye or has been told of a fault, which ends what it asked before too
-    // unless that is answered in order first.
-    if (client->waiting.empty() || client->waiting.back().faultCode.empty()) client->gone = true;
-    if (client->gone && client->inHand) desk_.lapse(*client->inHand);
+    if (client->deaf) co_await passOver(client);
+    // The client is gone, or has said good-bye.
+    client->gone = true;
+    if (client->inHand) desk_.lapse(*client->inHand);
     client->bell.cancel();
 }
 
+// Reads on to the end of the connection: one that is closed with bytes unread is reset, and the last answer
+// could be lost with it.
+asio::awaitable<void> Clients::passOver(std::shared_ptr<Client> client) {
+    std::array<char, 4096> bytes;
+    for (;;) {
+        const auto [fault, got] = co_await client->socket.async_read_some(asio::buffer(bytes), quietly);
+        if (fault) co_return;
+    }
+}
+
 asio::awaitable<bool> Clients::write(std::shared_ptr<Client> client, std::string answer) {
     client->closeAt(Clock::Steady::now() + patience);
     const auto [fault, n] = co_await asio::async_write(client->socket, asio::buffer(answer), quietly);
@@ -230,8 +239,13 @@
         if (!asked.faultCode.empty()) {
             std::string farewell;
             postgres::putError(farewell, "FATAL", asked.faultCode, asked.fault);
+            client->deaf = true;
             co_await write(client, std::move(farewell));
-            break;
+            boost::system::error_code ignored;
+            client->socket.shutdown(tcp::socket::shutdown_send, ignored);
+            // Time for the client to read it and to close.
+            client->closeAt(Clock::Steady::now() + std::chrono::seconds(1));
+            co_return;
         }
         std::string reply = co_await answer(client, std::move(asked.statement));
         client->inHand = nullptr;
--- a/src/wire/clients.hpp
+++ b/src/wire/clients.hpp
@@ -25,6 +25,7 @@
     asio::awaitable<void> read(std::shared_ptr<Client> client);
     asio::awaitable<bool> welcome(std::shared_ptr<Client> client);
     asio::awaitable<bool> more(std::shared_ptr<Client> client, std::size_t whole);
+    asio::awaitable<void> passOver(std::shared_ptr<Client> client);
     asio::awaitable<void> answerAll(std::shared_ptr<Client> client);
     asio::awaitable<std::string> answer(std::shared_ptr<Client> client, std::string statement);
     asio::awaitable<bool> write(std::shared_ptr<Client> client, std::string answer);
--- a/tests/input.cpp
+++ b/tests/input.cpp
@@ -124,7 +124,8 @@
     };
     assert(told(std::string("Q\0\0\0\2", 5)) == "08P01");          // a lying length
     assert(told(std::string("Q\x7f\xff\xff\xff", 5)) == "08P01");  // an oversized one
-    assert(told(std::string("Q\0\0\0\6ab", 7)) == "08P01");        // text without an end
+    assert(told(std::string("Q\x7f\xff\xff\xff", 5) + std::string(4 << 20, 'x')) == "08P01");
+    assert(told(std::string("Q\0\0\0\6ab", 7)) == "08P01");  // text without an end
     assert(told(std::string("P\0\0\0\x8"
                             "a\0b\0",
                             9)) == "0A000");  // the extended protocol
