--- a/tests/serve.cpp
+++ b/tests/serve.cpp
@@ -1,4 +1,6 @@
 // Starts the program and speaks to it as clients, stores and discovery would.
+#include <thread>
+
 #include "bench.hpp"
 
 using namespace granitereel;
@@ -192,13 +194,20 @@
     assert(client.answer() == "seen");
 }
 
-// Past the most that are kept the quiet ones make way, and where none is quiet the rest get an answer.
-void crowds() {
+// Past the most that are kept the quiet ones make way.
+void quietOnesMakeWay() {
     Stage stage(false, 64);
     std::vector<End> clients;
     for (int i = 0; i < 60; ++i) clients.push_back(stage.client()), clients.back().hello();
     assert(clients.front().answer() == "ended");
-    clients.clear();
+    End client = stage.client();
+    client.hello().ask("");
+    assert(client.answer() == "empty");
+}
+
+// Where none is quiet, those past the most that are kept are told so at once.
+void crowds() {
+    Stage stage(false, 64);
     std::vector<End> busy, told;
     for (int i = 0; i < 10; ++i) {
         busy.push_back(stage.client());
@@ -217,6 +226,42 @@
     assert(client.answer() == "empty");
 }
 
+// A client that leaves its answers lying stops nobody else, and finds them all when it reads on.
+void slowReaders() {
+    Stage stage;
+    const std::string large(64 * 1024, 'v');
+    constexpr int many = 100;  // more than the buffers on the way take
+    std::thread store([&] {
+        End end = stage.replica.accept();
+        end.welcome();
+        for (int i = 0; i < many; ++i) end.asked(), end.give(large);
+    });
+    End slow = stage.client(), other = stage.client();
+    slow.hello();
+    for (int i = 0; i < many; ++i) slow.ask(statement(std::to_string(i), "look"));
+    other.hello().ask(statement("other", "pay"));
+    End primary = stage.primary.accept();
+    primary.welcome().asked();
+    primary.give("paid", "primary");
+    assert(other.answer() == "paid");
+    for (int i = 0; i < many; ++i) assert(slow.answer() == large);
+    store.join();
+}
+
+// Discovery is down from the start: the list as last held serves.
+void servesWithoutDiscovery() {
+    Stage stage;
+    stage.discovery.leave();
+    stage.logged("discovery: ");
+    stage.logged("discovery: no connection");
+    End client = stage.client();
+    client.hello().ask(statement("a", "look"));
+    End store = stage.replica.accept();
+    store.welcome().asked();
+    store.give("known");
+    assert(client.answer() == "known");
+}
+
 // Told to end, the front goes on taking and answering for a while, then leaves with 0.
 void endsInOrder() {
     for (const int sign : {SIGTERM, SIGINT}) {
@@ -294,7 +339,10 @@
     clientLeaves();
     followsTheList();
     probesTellPositions();
+    quietOnesMakeWay();
     crowds();
+    slowReaders();
+    servesWithoutDiscovery();
     endsInOrder();
     endsWithWorkOut();
     commandLine();
