--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,10 +35,10 @@
     return value ? value : "";
 }
 
-int serve(const Station& station) {
+int serve(const Station& station, const Told& told) {
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        granitereel::Program(station).run();
+        granitereel::Program(station, told).run();
     } catch (const boost::system::system_error& fault) {
         std::cerr << "granitereel: " << station.listen << ": " << fault.code().message() << "\n";
         return cannotServe;
@@ -92,7 +92,7 @@
     spdlog::set_default_logger(std::move(log));
     try {
         const Station station = granitereel::readStation(told);
-        return command == "serve" ? serve(station) : check(station);
+        return command == "serve" ? serve(station, told) : check(station);
     } catch (const Misread& fault) {
         std::cerr << "granitereel: " << fault.what() << "\n";
         return wrong;
--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -35,8 +35,9 @@
 
 }  // namespace
 
-Program::Program(const Station& station)
+Program::Program(const Station& station, const Told& told)
     : station_(station),
+      told_(told),
       // Three eighths of the memory for what has come in; answers on their way out may take as much again.
       budget_(station.memory / 8 * 3),
       pool_(io_.get_executor(), forStores(station.descriptors), station.opening.idleLimit),
@@ -47,7 +48,8 @@
       clients_(io_.get_executor(), clock_, desk_, stores_, budget_, station.opening.charter.lanes,
                forClients(station.descriptors), forClients(station.descriptors) + spareDescriptors),
       acceptor_(io_),
-      signals_(io_, SIGTERM, SIGINT) {}
+      endings_(io_, SIGTERM, SIGINT),
+      hangUps_(io_, SIGHUP) {}
 
 void Program::enter(Phase phase) {
     static constexpr const char* names[] = {"starting", "serving", "leaving", "finishing", "over"};
@@ -82,8 +84,27 @@
     }
 }
 
+// SIGHUP: the config is read again. Of what stands in it, where discovery listens is taken over, whatever the
+// environment or the command line said at the start; the rest must be sound, and holds from the next start on.
+asio::awaitable<void> Program::reloads() {
+    for (;;) {
+        co_await hangUps_.async_wait(quietly);
+        Told again = told_;
+        again.discovery.clear();
+        try {
+            const tcp::endpoint at = readStation(again).discovery;
+            spdlog::info("{}: config read again, discovery at {}:{}", station_.name, at.address().to_string(),
+                         at.port());
+            discovery_.moveTo(at);
+            asio::co_spawn(io_, discovery_.follow(), asio::detached);
+        } catch (const Misread& fault) {
+            spdlog::warn("config not read again, nothing changes: {}", fault.what());
+        }
+    }
+}
+
 asio::awaitable<void> Program::untilOver() {
-    co_await signals_.async_wait(quietly);
+    co_await endings_.async_wait(quietly);
     const Nanos told = clock_.now();
     // Clients may come for 0.7 s more. A front is not killed before its longest cut-off, of 3 s at most, and
     // those 0.7 s are over; 0.3 s before that everything in hand gets its answer.
@@ -130,6 +151,7 @@
     asio::co_spawn(io_, errands(), orEnd);
     asio::co_spawn(io_, upkeep(), orEnd);
     asio::co_spawn(io_, clients_.listen(acceptor_), orEnd);
+    asio::co_spawn(io_, reloads(), orEnd);
     asio::co_spawn(io_, untilOver(), orEnd);
     enter(Phase::serving);
     io_.run();
--- a/src/run/program.hpp
+++ b/src/run/program.hpp
@@ -12,7 +12,7 @@
 
 class Program {
 public:
-    explicit Program(const Station& station);
+    Program(const Station& station, const Told& told);
     // Serves until it is told to end. Throws boost::system::system_error where the address can't be had.
     void run();
 
@@ -23,9 +23,11 @@
     void enter(Phase phase);
     asio::awaitable<void> errands();
     asio::awaitable<void> upkeep();
+    asio::awaitable<void> reloads();
     asio::awaitable<void> untilOver();
 
     const Station& station_;
+    const Told& told_;
     asio::io_context io_{1};
     Clock clock_;
     Budget budget_;
@@ -36,9 +38,8 @@
     Discovery discovery_;
     Clients clients_;
     tcp::acceptor acceptor_;
-    asio::signal_set signals_;
+    asio::signal_set endings_, hangUps_;
     Phase phase_ = Phase::starting;
-    Nanos ownCutOff_ = 0;
 };
 
 }  // namespace granitereel
--- a/src/wire/discovery.cpp
+++ b/src/wire/discovery.cpp
@@ -20,6 +20,8 @@
 // Discovery calls that wait in turn end within some seconds; a watch speaks every 2 s, and one line may be a
 // second late.
 constexpr auto mostSilence = std::chrono::milliseconds(3000);
+// Connections are taken by the machine, not in turn: a second is several times a lost packet's delay.
+constexpr auto mostConnecting = std::chrono::milliseconds(1000);
 // Some thousands of entries; a longer list would not fit the memory of a front.
 constexpr std::size_t longestList = 4 << 20;
 
@@ -82,28 +84,34 @@
 // One call while it lasts; its socket is closed when nothing has come for too long.
 struct Discovery::Call {
     Call(asio::any_io_executor on) : socket(on), limit(on) {}
+    void end() {
+        over = true;
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
     tcp::socket socket;
     asio::steady_timer limit;
     unsigned turn = 0;
+    bool over = false;  // nothing that it says counts any more
 };
 
-asio::awaitable<void> Discovery::call(std::string target, bool watch) {
-    const auto held = std::make_shared<Call>(on_);
+asio::awaitable<void> Discovery::call(std::shared_ptr<Call> held, std::string target, bool watch) {
     tcp::socket& socket = held->socket;
-    auto expect = [&] {
-        held->limit.expires_after(mostSilence);
+    auto expect = [&](std::chrono::milliseconds within) {
+        held->limit.expires_after(within);
         held->limit.async_wait([at = std::weak_ptr<Call>(held), mine = ++held->turn](auto fault) {
             const auto late = at.lock();
-            boost::system::error_code ignored;
-            if (!fault && late && late->turn == mine) late->socket.close(ignored);
+            if (!fault && late && late->turn == mine) late->end();
         });
     };
     const char* why = nullptr;
-    expect();
-    const auto [unreached] = co_await socket.async_connect(at_, quietly);
+    const tcp::endpoint to = at_;
+    expect(mostConnecting);
+    const auto [unreached] = co_await socket.async_connect(to, quietly);
     if (unreached) throw std::runtime_error("no connection");
-    const std::string asked = "GET " + target + " HTTP/1.1\r\nHost: " + at_.address().to_string() + ":" +
-                              std::to_string(at_.port()) + "\r\nAccept: application/json\r\n\r\n";
+    expect(mostSilence);
+    const std::string asked = "GET " + target + " HTTP/1.1\r\nHost: " + to.address().to_string() + ":" +
+                              std::to_string(to.port()) + "\r\nAccept: application/json\r\n\r\n";
     const auto [unwritten, n] = co_await asio::async_write(socket, asio::buffer(asked), quietly);
     if (unwritten) throw std::runtime_error("connection broken");
     std::string text, content;
@@ -111,11 +119,11 @@
     std::array<char, 16 * 1024> bytes;
     for (;;) {
         const auto [fault, got] = co_await socket.async_read_some(asio::buffer(bytes), quietly);
-        if (fault) {
-            why = held->turn && !socket.is_open() ? "silent for too long" : "connection ended";
+        if (fault || held->over) {
+            why = held->over ? "silent for too long" : "connection ended";
             break;
         }
-        expect();
+        expect(mostSilence);
         std::string_view fresh(bytes.data(), got);
         if (!body) {
             text += fresh;
@@ -147,24 +155,31 @@
 }
 
 asio::awaitable<void> Discovery::follow() {
-    if (following_) co_return;
-    following_ = true;
+    if (watch_) co_return;
+    const auto mine = watch_ = std::make_shared<Call>(on_);
     try {
-        co_await call("/v1/servers?stream=1&index=" + std::to_string(index_), true);
+        co_await call(mine, "/v1/servers?stream=1&index=" + std::to_string(index_), true);
     } catch (const std::exception& fault) {
+        if (watch_ != mine) co_return;  // discovery has moved, and this call failed for that alone
         spdlog::warn("discovery: {}", fault.what());
         desk_.listFailed();
     }
-    following_ = false;
+    watch_ = nullptr;
 }
 
 asio::awaitable<void> Discovery::ask() {
     try {
-        co_await call("/v1/servers", false);
+        co_await call(std::make_shared<Call>(on_), "/v1/servers", false);
     } catch (const std::exception& fault) {
         spdlog::warn("discovery: {}", fault.what());
         desk_.listFailed();
     }
 }
 
+void Discovery::moveTo(tcp::endpoint at) {
+    at_ = at;
+    index_ = 0;  // what the old place counted may mean nothing at the new one
+    if (const auto old = std::exchange(watch_, nullptr)) old->end();
+}
+
 }  // namespace granitereel
--- a/src/wire/discovery.hpp
+++ b/src/wire/discovery.hpp
@@ -20,11 +20,13 @@
     void read(const simdjson::dom::object& list);
     // Watches from the last index on, unless a watch stands; returns when it has ended.
     asio::awaitable<void> follow();
+    // Discovery listens elsewhere from now on: ends the watch; the next one asks for the whole list.
+    void moveTo(tcp::endpoint at);
     asio::awaitable<void> ask();
 
 private:
     struct Call;
-    asio::awaitable<void> call(std::string target, bool watch);
+    asio::awaitable<void> call(std::shared_ptr<Call> held, std::string target, bool watch);
 
     asio::any_io_executor on_;
     Desk& desk_;
@@ -32,7 +34,7 @@
     const std::vector<std::string>& zones_;
     tcp::endpoint at_;
     std::int64_t index_ = 0;
-    bool following_ = false;
+    std::shared_ptr<Call> watch_;
     simdjson::dom::parser parser_;
 };
 
--- a/tests/bench.hpp
+++ b/tests/bench.hpp
@@ -369,9 +369,9 @@
         return list(index, true,
                     entry("p", primary, "Ready", "primary") + "," + entry("r", replica, "Ready", "replica"));
     }
-    std::string config(bool probes, int sockets) const {
+    std::string config(const Place& registry, bool probes = false, int sockets = 1024) const {
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(port) + "\",\"discovery\":\"" +
-               discovery.address() +
+               registry.address() +
                "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"memory_mb\":64,\"sockets\":" +
                std::to_string(sockets) + "},\"known\":" + whole() +
                ",\"settings\":{\"az\":0,\"azs\":[\"a\"],\"me\":0,\"siblings\":1,\"membership-mode\":"
@@ -393,7 +393,7 @@
         const int fd = ::mkstemp(name);
         assert(fd >= 0);
         ::close(fd);
-        std::ofstream(file = name) << config(probes, sockets);
+        std::ofstream(file = name) << config(discovery, probes, sockets);
         program = start({"serve", "--config", file}, log);
         logged("serving");
     }
@@ -443,9 +443,14 @@
         assert(::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
         return End(fd);
     }
+    void reload(const std::string& content) const {
+        std::ofstream(file) << content;
+        ::kill(program, SIGHUP);
+    }
     // Discovery's side of the watch that the front opens.
-    End follow() {
-        End watch = discovery.accept();
+    End follow() { return follow(discovery); }
+    static End follow(Place& registry) {
+        End watch = registry.accept();
         assert(watch.called().find("GET /v1/servers?stream=1&index=") == 0);
         watch.watch();
         return watch;
--- a/tests/serve.cpp
+++ b/tests/serve.cpp
@@ -262,6 +262,42 @@
     assert(client.answer() == "known");
 }
 
+// SIGHUP: discovery is followed where the config names it now, at once, and from the whole list on. A config
+// that can't be used changes nothing, nor does a new place that says nothing keep the front from the next.
+void reloads() {
+    Stage stage;
+    End watch = stage.follow(), client = stage.client();
+    for (const char* wrong : {"{\"listen\":", "{}"}) {
+        stage.reload(wrong);
+        stage.logged("config not read again");
+    }
+    watch.line(Stage::list(52, false, stage.entry("p", stage.primary, "Terminating", "primary")));
+    stage.logged("primary lost, was p");
+    Place silent, next;
+    stage.reload(stage.config(silent));
+    End call = silent.accept();
+    assert(call.called().find("index=0 ") != std::string::npos && watch.ended());
+    stage.reload(stage.config(next));
+    watch = Stage::follow(next);
+    assert(call.ended());
+    watch.line(Stage::list(7, true, stage.entry("p", stage.primary, "Ready", "primary")));
+    client.hello().ask(statement("a", "look"));
+    End store = stage.primary.accept();  // the replica is gone from the list
+    store.welcome().asked();
+    store.give("moved", "primary");
+    assert(client.answer() == "moved");
+    // The same place again; then on the way out.
+    stage.reload(stage.config(next));
+    End again = Stage::follow(next);
+    assert(watch.ended());
+    ::kill(stage.program, SIGTERM);
+    stage.logged("leaving");
+    stage.reload(stage.config(stage.discovery));
+    assert(again.ended());
+    stage.follow();
+    assert(stage.exitCode() == 0);
+}
+
 // Told to end, the front goes on taking and answering for a while, then leaves with 0.
 void endsInOrder() {
     for (const int sign : {SIGTERM, SIGINT}) {
@@ -343,6 +379,7 @@
     crowds();
     slowReaders();
     servesWithoutDiscovery();
+    reloads();
     endsInOrder();
     endsWithWorkOut();
     commandLine();
