--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -106,10 +106,11 @@
 asio::awaitable<void> Program::untilOver() {
     co_await endings_.async_wait(quietly);
     const Nanos told = clock_.now();
-    // Clients may come for 0.7 s more. A front is not killed before its longest cut-off, of 3 s at most, and
-    // those 0.7 s are over; 0.3 s before that everything in hand gets its answer.
-    const Nanos closing = told + millis(700);
+    // A front is not killed before its longest cut-off, of 3 s at most, and 0.7 s more are over; 0.3 s before
+    // that everything in hand gets its answer. Until 0.7 s before then it serves on: the other fronts may be
+    // restarting as well, and then those who hold connections here have nobody else.
     const Nanos last = told + std::min(longestCutOff(station_.opening.charter), millis(3000)) + millis(400);
+    const Nanos closing = std::max(told + millis(700), last - millis(700));
     enter(Phase::leaving);
     asio::steady_timer pause(io_);
     bool givenUp = false;
@@ -119,7 +120,7 @@
             enter(Phase::finishing);
             acceptor_.close();
         }
-        clients_.closeQuiet();
+        if (phase_ == Phase::finishing) clients_.closeQuiet();
         if (now >= last && !std::exchange(givenUp, true)) desk_.giveUpAll();
         // Answers need 100 ms at the most to be written; who has not taken them by then will not.
         if (now >= last + millis(100)) break;
