Believe nothing in spoilt answers; close clients that never ask; serve newcomers past idle ones

Now an answer counts in its exact form alone, a spoilt one is an ending of its own that says the store is alive, and one unreadable figure spoils a report. Clients: startups and half messages were waited for 10 s where 3 are owed; a client marked surplus when it came stayed so after others had made way, so that past the most kept every newcomer was refused; text that begins with SELECT went to stores. Now they get 2.5 s, newcomers are served once quiet ones have made way, and only the two forms of statement pass.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -115,6 +115,7 @@
         group.redeal = true;
     }
     Store& store = *slot;
+    store.goneAt = 0;
     if (started > store.started) {  // it has started again: cold, and perhaps no longer the primary
         store.started = started;
         store.suspectSince = store.awaySince = 0;
@@ -139,6 +140,7 @@
 }
 
 void Front::standDown(Store& store, Standing standing) {
+    if (standing == Standing::removed) store.goneAt = now_;
     if (standing == Standing::removed && onlyDrainingBinds_ && store.standing == Standing::up) return;
     store.standing = standing;
     watch(store);
@@ -703,7 +705,9 @@
                                [&](const Launch& l) { return l.number == launchNo && l.transaction == id; });
     if (launch == store->out.end()) return;
     const Launch done = *launch;
-    if (how == Ending::delivered || how == Ending::error || how == Ending::full || how == Ending::missed)
+    // A spoilt answer tells no less that the store is there and works: any store may give one.
+    if (how == Ending::delivered || how == Ending::spoilt || how == Ending::error || how == Ending::full ||
+        how == Ending::missed)
         hear(*store, how != Ending::full);
     store->out.erase(launch);
     --store->load[tierOf(lanes_[done.lane])];
@@ -904,7 +908,7 @@
     // ran out: the way is slow, or loses messages. Three seconds give a front with few transactions some
     // answers.
     const bool slow = how == Ending::timedOut && now_ - ways_[store->zone].heard < millis(3000);
-    if (how == Ending::delivered)
+    if (how == Ending::delivered || how == Ending::spoilt)
         hear(*store, false);
     else if (how != Ending::full && store->heard < store->probedAt && !slow)
         distrust(*store, true);
@@ -959,6 +963,18 @@
         ++warm;
     }
     if (warm > 0) bearing_ = borne / warm;
+    // A store is forgotten a minute after the list took it out, many times what roles and lists may be late,
+    // unless it still works or was never seen to end. It guards against fleets that are replaced for months.
+    std::erase_if(stores_, [&](auto& each) {
+        Store& store = *each.second;
+        Group& group = groups_[store.group];
+        if (!store.goneAt || now_ - store.goneAt < millis(60'000) || !store.out.empty() || store.probing ||
+            &store == group.primary || (store.standing == Standing::up && !store.awaySince))
+            return false;
+        std::erase(group.members, &store);
+        std::erase(watched_, &store);
+        return group.redeal = true;
+    });
 }
 
 // Has the round look at a store until it is quiet again.
--- a/src/facade/desk.hpp
+++ b/src/facade/desk.hpp
@@ -103,6 +103,7 @@
                    bool primary);
     void listEnds();
     void listFailed();
+    bool knows(const std::string& store) const { return front_.knows(store); }
     void probed(const std::string& store, Ending how, const std::optional<Report>& report);
 
     // Runs due timers; returns once there are errands.
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -23,7 +23,8 @@
 enum class Effect { harmless, stamped, oneShot };
 enum class Reach { group, zone, everywhere };  // which stores drop the repeats of a stamped transaction
 enum class Need { any, bounded, session, fresh, write };
-enum class Ending { delivered, error, full, timedOut, unreachable, broken, cancelled, unsent, missed };
+// Spoilt: the store has answered, but nothing that can be believed.
+enum class Ending { delivered, spoilt, error, full, timedOut, unreachable, broken, cancelled, unsent, missed };
 enum class Role { unknown, primary, replica };
 enum class Standing { up, draining, removed };
 enum class Pool { premium, freemium, mixed, none };
@@ -119,6 +120,7 @@
     int group = 0, zone = 0;
     Standing standing = Standing::up;
     Nanos started = 0;  // when it was last seen to start; 0: long ago
+    Nanos goneAt = 0;   // when the list took it out; 0: it did not
     bool listedAsPrimary = false;
     Role role = Role::unknown;
     Nanos roleAsOf = 0, roleHeard = 0, lostRole = 0;
@@ -200,6 +202,8 @@
 
     // For a caller that needs a while to connect: whether a launch may still be written to its store.
     bool mayStillGo(const std::string& id, const std::string& store) const;
+    // Whether the store is in the list, or was until lately.
+    bool knows(const std::string& store) const { return stores_.count(store) > 0; }
     // For a caller that ends: the transaction gets its final answer now.
     void giveUp(const std::string& id);
 
--- a/src/memory/clients.cpp
+++ b/src/memory/clients.cpp
@@ -12,39 +12,38 @@
 }
 
 void Client::leaveTable() {
-    if (kept) std::exchange(kept, nullptr)->erase(place);
+    if (!kept) return;
+    kept->proven_ -= proven;
+    std::exchange(kept, nullptr)->all_.erase(place);
 }
 
-bool Client::quietFor(std::chrono::milliseconds span) {
-    if (busy || !waiting.empty() || !socket.is_open()) return false;
-    // Half a message is waited for longer: ten seconds are several times what a slow link needs.
-    if (!inbox.unread().empty()) span = std::max(span, std::chrono::milliseconds(10'000));
-    if (heard > std::chrono::steady_clock::now() - span) return false;
+bool Client::unread() {
     char byte;
-    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void Client::closeAt(asio::steady_timer::time_point when) {
-    limit.expires_at(when);
-    limit.async_wait([at = weak_from_this(), mine = ++turn](boost::system::error_code fault) {
-        const auto client = at.lock();
-        if (!fault && client && client->turn == mine) client->close();
-    });
+bool Client::quietFor(std::chrono::milliseconds span) {
+    if (busy || !waiting.empty() || !socket.is_open()) return false;
+    // Half a message of one that is known to ask well is waited for.
+    if (proven && !inbox.unread().empty()) return false;
+    return heard <= Steady::now() - span && !unread();
 }
 
-void Client::release() {
-    ++turn;
-    limit.cancel();
+void Client::prove() {
+    if (kept && !proven) ++kept->proven_;
+    proven = true;
+    if (inbox.unread().empty()) sayBy = never;
 }
 
 void Client::close() {
     boost::system::error_code ignored;
     socket.shutdown(tcp::socket::shutdown_both, ignored);
     socket.close(ignored);
+    bell.cancel();
 }
 
 void ClientTable::add(Client& client) {
-    client.kept = &all_;
+    client.kept = this;
     client.place = all_.insert(all_.end(), &client);
 }
 
@@ -53,15 +52,24 @@
     if (client.kept) all_.splice(all_.end(), all_, client.place);
 }
 
-void ClientTable::evict() {
+bool ClientTable::evict(bool proven) {
     // A client asks at once after its welcome, or keeps the connection for later: a quarter of a second is
-    // well over the way here and back.
+    // well over the way here and back, and half of that enough for one that has yet to ask for anything. It
+    // guards against crowds that say nothing, and should catch any that connect faster than they ask.
+    const std::chrono::milliseconds span(proven ? 250 : 125);
     for (Client* client : all_) {
-        if (!client->quietFor(std::chrono::milliseconds(250))) continue;
+        if (client->proven != proven || !client->quietFor(span)) continue;
         client->close();
         client->leaveTable();
-        return;
+        return true;
     }
+    return false;
+}
+
+bool ClientTable::admits() {
+    while (proven_ >= most_)
+        if (!evict(true)) return false;
+    return true;
 }
 
 void ClientTable::closeQuiet(std::chrono::milliseconds span) {
@@ -69,4 +77,13 @@
         if (client->quietFor(span)) client->close();
 }
 
+void ClientTable::closeOverdue() {
+    const auto now = Client::Steady::now();
+    for (Client* client : all_) {
+        // What is in hand is answered first; the rest of a message may just have come.
+        const bool waits = client->busy || !client->waiting.empty() || (client->proven && client->unread());
+        if (now >= client->takeBy || (now >= client->sayBy && !waits)) client->close();
+    }
+}
+
 }  // namespace granitereel
--- a/src/memory/clients.hpp
+++ b/src/memory/clients.hpp
@@ -16,6 +16,7 @@
 using asio::ip::tcp;
 
 class Ticket;
+class ClientTable;
 
 // What a client has asked for and what waits for its turn; a fault is the last thing that is answered.
 struct Asked {
@@ -25,18 +26,21 @@
 };
 
 struct Client : std::enable_shared_from_this<Client> {
+    using Steady = std::chrono::steady_clock;
+    static constexpr Steady::time_point never = Steady::time_point::max();
+
     Client(tcp::socket from, Budget& budget)
-        : socket(std::move(from)), inbox(budget), bell(socket.get_executor()), limit(socket.get_executor()) {}
+        : socket(std::move(from)), inbox(budget), bell(socket.get_executor()) {}
     ~Client();
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
 
-    // Closed at `when` unless released before.
-    void closeAt(asio::steady_timer::time_point when);
-    void release();
     void close();
+    // It has asked for something that could be taken in hand.
+    void prove();
     // Nothing is asked of the front here, not even in bytes that it has yet to read, and was not for a while.
     bool quietFor(std::chrono::milliseconds span);
+    bool unread();
     // Nobody counts it any more.
     void leaveTable();
 
@@ -44,13 +48,17 @@
     Inbox inbox;
     std::deque<Asked> waiting;
     std::size_t waitingBytes = 0;
-    asio::steady_timer bell, limit;  // the bell rings when something is asked, answered or over
+    asio::steady_timer bell;  // rings when something is asked, answered or over
     std::shared_ptr<Ticket> inHand;
-    bool busy = false, gone = false, surplus = false;
-    bool deaf = false;  // it gets a last answer, and what it says from then on is passed over
-    unsigned turn = 0;
-    std::chrono::steady_clock::time_point heard = std::chrono::steady_clock::now();
-    std::list<Client*>* kept = nullptr;
+    bool busy = false, gone = false;
+    bool proven = false;
+    bool deaf = false;    // it gets a last answer, and what it says from then on is passed over
+    bool told = false;    // it has had that answer
+    bool floods = false;  // it goes on speaking for longer than it is listened to
+    Steady::time_point heard = Steady::now();
+    // When the table closes it: what it must have said by then, what it must have taken.
+    Steady::time_point sayBy = never, takeBy = never;
+    ClientTable* kept = nullptr;
     std::list<Client*>::iterator place;
 };
 
@@ -62,12 +70,18 @@
     void touch(Client& client);
     std::size_t count() const { return all_.size(); }
     bool full() const { return all_.size() > most_; }
-    // Closes the one that has been quiet longest, if it was so for long enough that no request is on its way.
-    void evict();
+    // Whether one more may ask, once a quiet one has made way if need be.
+    bool admits();
+    // Closes the one that has been quiet longest, if it was so for long enough that no request is on its way;
+    // those that have yet to ask for anything come first.
+    bool evict() { return evict(false) || evict(true); }
     void closeQuiet(std::chrono::milliseconds span);
+    void closeOverdue();
 
 private:
-    std::size_t most_;
+    friend struct Client;
+    bool evict(bool proven);
+    std::size_t most_, proven_ = 0;
     std::list<Client*> all_;
 };
 
--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -76,11 +76,15 @@
 
 asio::awaitable<void> Program::upkeep() {
     asio::steady_timer pause(io_);
-    for (;;) {
-        // Once a second: idle limits are many seconds.
-        pause.expires_after(std::chrono::seconds(1));
+    for (unsigned round = 0;; ++round) {
+        // Ten times a second: clients have seconds, and are owed a close at the end of them. Idle limits are
+        // many seconds: once in ten.
+        pause.expires_after(std::chrono::milliseconds(100));
         co_await pause.async_wait(quietly);
+        clients_.closeOverdue();
+        if (round % 10 > 0) continue;
         pool_.sweep(clock_.now());
+        std::erase_if(book_, [this](const auto& each) { return !desk_.knows(each.first); });
     }
 }
 
--- a/src/wire/clients.cpp
+++ b/src/wire/clients.cpp
@@ -16,9 +16,14 @@
 
 constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
 
-// A client that says nothing at first, or does not take its answer, is waited for this long: several times
-// what a slow link needs for a whole value.
+// A client that does not take its answer is waited for this long: several times what a slow link needs for a
+// whole value.
 constexpr auto patience = std::chrono::seconds(10);
+// What makes no sense is owed an error or a close within 3 s. So long a new client may take until it has asked
+// for something that can be taken in hand, and any client for the rest of a message that it has begun.
+constexpr auto mostSilence = std::chrono::milliseconds(2500);
+// So much is read after a last answer, so that closing does not reset it away. Who says more does not listen.
+constexpr std::size_t mostPassedOver = 64 * 1024;
 // What may wait on one connection for its turn: two statements of the largest size, or many small ones.
 constexpr std::size_t mostWaitingBytes = 2 * postgres::longestMessage, mostWaiting = 128;
 
@@ -48,15 +53,15 @@
     for (std::size_t i = 0; i < lanes.size(); ++i) {
         lanes_[lanes[i].name] = static_cast<int>(i);
         sessions_.push_back(lanes[i].need == Need::session || lanes[i].need == Need::write);
+        writes_.push_back(lanes[i].need == Need::write);
     }
 }
 
 asio::awaitable<void> Clients::listen(tcp::acceptor& acceptor) {
     while (acceptor.is_open()) {
-        // Past the most that are kept, the one quiet longest makes way; where none is quiet, spare
-        // descriptors allow an answer to a few.
-        if (table_.full()) table_.evict();
-        if (table_.count() >= spare_) {
+        // Past the most that are kept, the one quiet longest makes way. The spare ones beyond those that may
+        // ask allow an answer to a few where none is quiet.
+        if (table_.count() >= spare_ && !table_.evict()) {
             asio::steady_timer pause(on_, std::chrono::milliseconds(5));
             co_await pause.async_wait(quietly);
             continue;
@@ -72,8 +77,8 @@
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
         auto client = std::make_shared<Client>(std::move(socket), budget_);
+        client->sayBy = client->heard + mostSilence;
         table_.add(*client);
-        client->surplus = table_.full();
         asio::co_spawn(on_, read(client), asio::detached);
     }
 }
@@ -171,14 +176,12 @@
 }
 
 asio::awaitable<void> Clients::read(std::shared_ptr<Client> client) {
-    client->closeAt(Clock::Steady::now() + patience);
     bool on = true;
     try {
         on = co_await welcome(client);
     } catch (const postgres::Garbled& fault) {
         ask(*client, {"", "08P01", fault.what()});
     }
-    client->release();
     asio::co_spawn(on_, answerAll(client), asio::detached);
     while (on && !client->deaf) {
         std::size_t wanted = 0;
@@ -194,6 +197,11 @@
             if (!client->socket.is_open()) break;
             continue;
         }
+        if (client->proven) {
+            const bool begun = !client->inbox.unread().empty();
+            if (!begun) client->sayBy = Client::never;
+            if (begun && client->sayBy == Client::never) client->sayBy = Clock::Steady::now() + mostSilence;
+        }
         on = co_await more(client, wanted);
     }
     if (client->deaf) co_await passOver(client);
@@ -203,20 +211,27 @@
     client->bell.cancel();
 }
 
-// Reads on to the end of the connection: one that is closed with bytes unread is reset, and the last answer
-// could be lost with it.
+// Reads on for a while: a connection that is closed with bytes unread is reset, and the last answer could be
+// lost with it.
 asio::awaitable<void> Clients::passOver(std::shared_ptr<Client> client) {
     std::array<char, 4096> bytes;
-    for (;;) {
+    for (std::size_t passed = 0; passed < mostPassedOver;) {
         const auto [fault, got] = co_await client->socket.async_read_some(asio::buffer(bytes), quietly);
         if (fault) co_return;
+        passed += got;
+    }
+    client->floods = true;
+    if (client->told) client->close();
+    while (client->socket.is_open()) {  // what it asked for before is still answered
+        client->bell.expires_at(asio::steady_timer::time_point::max());
+        co_await client->bell.async_wait(quietly);
     }
 }
 
 asio::awaitable<bool> Clients::write(std::shared_ptr<Client> client, std::string answer) {
-    client->closeAt(Clock::Steady::now() + patience);
+    client->takeBy = Clock::Steady::now() + patience;
     const auto [fault, n] = co_await asio::async_write(client->socket, asio::buffer(answer), quietly);
-    client->release();
+    client->takeBy = Client::never;
     co_return !fault;
 }
 
@@ -233,20 +248,22 @@
         client->waitingBytes -= asked.statement.size();
         client->busy = true;
         client->bell.cancel();  // the reader may have waited for room
-        // The client must not take a connection that ends for one that it may use again.
-        if (client->surplus && !detail::trim(asked.statement).empty())
+        // Past the most that may ask, newcomers are told so. The client must not take a connection that ends
+        // for one that it may use again.
+        if (!client->proven && !detail::trim(asked.statement).empty() && !table_.admits())
             asked.faultCode = "53300", asked.fault = "too many connections";
         if (!asked.faultCode.empty()) {
             std::string farewell;
             postgres::putError(farewell, "FATAL", asked.faultCode, asked.fault);
             client->deaf = true;
             co_await write(client, std::move(farewell));
+            client->told = true;
             // Where others wait for the descriptor, it is not kept for one that may take its time to close.
-            if (client->surplus || table_.full()) break;
+            if (client->floods || table_.full()) break;
             boost::system::error_code ignored;
             client->socket.shutdown(tcp::socket::shutdown_send, ignored);
             // Time for the client to read it and to close.
-            client->closeAt(Clock::Steady::now() + std::chrono::seconds(1));
+            client->takeBy = Clock::Steady::now() + std::chrono::seconds(1);
             co_return;
         }
         std::string reply = co_await answer(client, std::move(asked.statement));
@@ -271,10 +288,11 @@
         std::string reply;
         postgres::putMessage(reply, 'I', "");
         postgres::putReady(reply);
+        client->prove();
         co_return reply;
     }
     Known known;
-    bool whole = false, single = false, odd = false;
+    bool whole = false, odd = false;
     const std::string_view sql = readMarks(
         statement,
         [&](std::string_view name, std::string_view value) {
@@ -285,22 +303,24 @@
             if (name == "after") known.after = wholeNumber(value), odd = odd || !known.after;
         },
         whole);
-    const std::string_view key = quotedKey(sql, single);
     // An hour is more than any client waits; a position fits a time in nanoseconds.
-    const bool sound = whole && single && !odd && !known.lane.empty() && !known.id.empty() &&
+    const bool sound = whole && !odd && !known.lane.empty() && !known.id.empty() &&
                        known.id.size() <= 128 && known.d && *known.d > 0 && *known.d <= 3'600'000 &&
                        known.group && *known.group >= 0 && *known.group <= 1'000'000'000 &&
                        (!known.after || (*known.after >= 0 && *known.after < 9'000'000'000'000));
     if (!sound) co_return errorAnswer("08P01", "not a statement of the form that is served here");
     const auto lane = lanes_.find(known.lane);
     if (lane == lanes_.end()) co_return errorAnswer("22023", "unknown class");
+    const auto key = keyOf(sql, writes_[lane->second]);
+    if (!key) co_return errorAnswer("08P01", "not a statement of the form that its class takes");
     std::optional<Nanos> mustSee;
     if (known.after && *known.after > 0) mustSee = millis(*known.after);
-    const std::string user = sessions_[lane->second] ? std::string(key) : std::string();
+    const std::string user = sessions_[lane->second] ? std::string(*key) : std::string();
     auto ticket = desk_.take(std::string(known.id), lane->second, user, millis(*known.d),
                              static_cast<int>(*known.group), mustSee);
     if (!ticket) co_return errorAnswer("22023", "unknown group, or an id that is in hand");
     client->inHand = ticket;
+    client->prove();
 
     const std::size_t from = static_cast<std::size_t>(known.patience.data() - statement.data());
     const Outgoing outgoing{std::string_view(statement).substr(0, from),
--- a/src/wire/clients.hpp
+++ b/src/wire/clients.hpp
@@ -18,6 +18,8 @@
     asio::awaitable<void> listen(tcp::acceptor& acceptor);
     // Closes the connections on which nothing is asked.
     void closeQuiet();
+    // Closes those that have kept the front waiting for too long.
+    void closeOverdue() { table_.closeOverdue(); }
     std::size_t count() const { return table_.count(); }
 
 private:
@@ -38,7 +40,7 @@
     Stores& stores_;
     Budget& budget_;
     std::map<std::string, int, std::less<>> lanes_;
-    std::vector<bool> sessions_;  // by lane: whether the key names a session
+    std::vector<bool> sessions_, writes_;  // by lane: whether the key names a session, whether it writes
     std::size_t spare_;
     ClientTable table_;
 };
--- a/src/wire/postgres.cpp
+++ b/src/wire/postgres.cpp
@@ -37,13 +37,33 @@
 }
 
 std::string_view errorField(std::string_view body, char letter) {
+    std::string_view found;
     while (!body.empty() && body[0] != '\0') {
         const char name = body[0];
         body.remove_prefix(1);
         const std::string_view text = takeText(body);
-        if (name == letter) return text;
+        if (name == letter && found.empty()) found = text;
     }
-    return {};
+    if (body.size() != 1) throw Garbled("fields without their end");
+    return found;
+}
+
+bool describesOne(std::string_view body) {
+    if (body.size() < 2 || body[0] != 0 || body[1] != 1) return false;
+    body.remove_prefix(2);
+    const std::size_t end = body.find('\0');
+    return end != std::string_view::npos && body.size() == end + 1 + 18;
+}
+
+bool mayBecomeAnswer(std::string_view begun) {
+    if (begun.empty()) return true;
+    if (std::string_view("TDCEZSNRK").find(begun[0]) == std::string_view::npos) return false;
+    if (begun.size() < 5) return true;
+    // Only a row may be long; of the rest an error with all its words is the longest.
+    const std::size_t length = messageLength(begun);
+    if (begun[0] != 'D') return length <= longestStartup;
+    // The length of a row and that of its only column tell the same.
+    return begun.size() < 11 || (begun[5] == 0 && begun[6] == 1 && number(begun.substr(7)) + 11 == length);
 }
 
 std::optional<std::string_view> onlyColumn(std::string_view body) {
--- a/src/wire/postgres.hpp
+++ b/src/wire/postgres.hpp
@@ -36,10 +36,14 @@
 // The text up to the next zero byte, taken off `from`.
 std::string_view takeText(std::string_view& from);
 
-// The text of a message's field, such as 'C' of an error.
+// The text of a message's field, such as 'C' of an error. The whole body must be of that form.
 std::string_view errorField(std::string_view body, char letter);
 // The only column of a row; none if there are more, or it holds nothing.
 std::optional<std::string_view> onlyColumn(std::string_view body);
+// Whether a row's description names one column and nothing else.
+bool describesOne(std::string_view body);
+// Whether what is there of an answer's message, or of a row, can still become one.
+bool mayBecomeAnswer(std::string_view begun);
 
 void putMessage(std::string& to, char letter, std::string_view body);
 void putSetting(std::string& to, std::string_view name, std::string_view value);
--- a/src/wire/statement.hpp
+++ b/src/wire/statement.hpp
@@ -1,6 +1,7 @@
 // A client's statement with the comment that names its transaction, read in place.
 #pragma once
 
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -36,25 +37,32 @@
     return statement.substr(end + 2);
 }
 
-// The first quoted text of a statement; it names the session where there are sessions. Sets `single` to
-// whether the text is one statement of the two kinds that stores take, with all its quotes closed.
-inline std::string_view quotedKey(std::string_view sql, bool& single) {
+// The quoted key of a statement; it names the session where there are sessions. None unless the text is, to
+// the letter, one of the two that stores take: a read, or a write of at most 64 KiB.
+inline std::optional<std::string_view> keyOf(std::string_view sql, bool write) {
+    constexpr std::size_t longestKey = 1024, longestValue = 64 * 1024;
+    const auto take = [&](std::string_view words) {
+        const bool there = sql.starts_with(words);
+        if (there) sql.remove_prefix(words.size());
+        return there;
+    };
     sql = detail::trim(sql);
-    single = sql.starts_with("SELECT ") || sql.starts_with("INSERT ");
-    std::string_view key;
-    bool found = false;
-    for (std::size_t at = 0; at < sql.size(); ++at) {
-        if (sql[at] == ';' && detail::trim(sql.substr(at + 1)).size() > 0) single = false;
-        if (sql[at] != '\'') continue;
-        const std::size_t close = sql.find('\'', at + 1);
-        if (close == std::string_view::npos) {
-            single = false;
-            break;
-        }
-        if (!std::exchange(found, true)) key = sql.substr(at + 1, close - at - 1);
-        at = close;
+    if (!take(write ? "INSERT INTO state (uid, val) VALUES ('" : "SELECT val FROM state WHERE uid = '")) return {};
+    const std::string_view key = sql.substr(0, sql.find('\''));
+    sql.remove_prefix(key.size());
+    if (key.empty() || key.size() > longestKey) return {};
+    if (write) {
+        if (!take("', '\\x")) return {};
+        const std::string_view digits = sql.substr(0, sql.find('\''));
+        sql.remove_prefix(digits.size());
+        if (digits.size() % 2 > 0 || digits.size() > 2 * longestValue ||
+            digits.find_first_not_of("0123456789abcdefABCDEF") != digits.npos || !take("') RETURNING val"))
+            return {};
+    } else if (!take("'")) {
+        return {};
     }
-    single = single && found;
+    take(";");
+    if (!sql.empty()) return {};
     return key;
 }
 
--- a/src/wire/stores.cpp
+++ b/src/wire/stores.cpp
@@ -31,6 +31,7 @@
 
 }  // namespace
 
+// One figure that can't be read spoils the rest.
 Report readReport(std::string_view text, Nanos now) {
     Report report;
     while (!text.empty()) {
@@ -38,100 +39,130 @@
         const std::string_view entry = text.substr(0, comma);
         text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
         const std::size_t equals = entry.find('=');
-        if (equals == std::string_view::npos) continue;
+        if (equals == std::string_view::npos) return {};
         const auto value = numberIn<double>(entry.substr(equals + 1));
-        if (!value || !std::isfinite(*value)) continue;
-        if (entry.substr(0, equals) == "x0") report.position = believable(std::floor(*value * 1e9), now);
+        if (!value || !std::isfinite(*value)) return {};
+        if (entry.substr(0, equals) == "x0") {
+            report.position = believable(std::floor(*value * 1e9), now);
+            if (!report.position) return {};
+        }
         if (entry.substr(0, equals) == "x1") report.primary = *value >= 0.5;
     }
     return report;
 }
 
-// What has been heard on a connection since its statement was written, or since it was opened.
+// What has been heard on a connection since its statement was written, or since it was opened. An answer has
+// one form: a row's description, the row, the command's end, and the store's settings somewhere among them; or
+// an error in place of what is left. Nothing of it counts before it is whole and the store is ready.
 struct Stores::Heard {
-    bool row = false, whole = false, ready = false, garbled = false;
+    Heard() = default;
+    explicit Heard(bool isAnswer) : asked(isAnswer) {}
+    bool asked = false;  // it is a statement's answer, not a welcome
+    bool described = false, row = false, whole = false, ready = false, spoilt = false;
+    bool over = false;  // it has come to its end
     std::string answer, value, code;
     Role role = Role::unknown;
     std::optional<Nanos> position;
     std::optional<Report> report;
+
+    // Takes in one message; throws Garbled where it has no place.
+    void take(std::string_view message, Nanos now) {
+        using namespace postgres;
+        std::string_view body = bodyOf(message);
+        const auto expect = [](bool so) {
+            if (!so) throw Garbled("not what belongs here");
+        };
+        switch (message[0]) {
+            case 'T':
+                expect(asked && !described && code.empty() && describesOne(body));
+                described = true;
+                answer += message;
+                break;
+            case 'D':
+                expect(described && !row && code.empty() && onlyColumn(body));
+                row = true;
+                value = onlyColumn(body)->substr(0, 1024);
+                answer += message;
+                break;
+            case 'C':
+                takeText(body);
+                expect(row && !whole && code.empty() && body.empty());
+                whole = true;
+                answer += message;
+                break;
+            case 'E':
+                expect(!whole && code.empty() && errorField(body, 'C').size() == 5);
+                code = errorField(body, 'C');
+                // The store ends the connection after these, and says no more.
+                over = errorField(body, 'S') == "FATAL" || errorField(body, 'S') == "PANIC";
+                break;
+            case 'S': {
+                const std::string_view name = takeText(body), setting = takeText(body);
+                expect(body.empty());
+                if (name == "role")
+                    role = setting == "primary"   ? Role::primary
+                           : setting == "replica" ? Role::replica
+                                                  : Role::unknown;
+                if (name == "applied_ms")
+                    if (const auto ms = numberIn<double>(setting)) position = believable(*ms * 1e6, now);
+                if (name == "load") report = readReport(setting, now);
+                break;
+            }
+            case 'R':
+                expect(!asked && body.size() == 4 && number(body) == 0);
+                break;
+            case 'Z':
+                expect(body.size() == 1 && (whole || !asked || !code.empty()));
+                over = ready = true;
+                break;
+            default:  // a notice, or the key that would cancel
+                break;
+        }
+    }
 };
 
-// Reads until the store is ready for the next statement, or the connection ends.
-asio::awaitable<void> Stores::hear(std::shared_ptr<Line> line, Heard& heard) {
+// Reads until the store is ready for the next statement, or the connection ends. What has begun is of no use
+// if nothing of the rest comes for as long as a whole connecting may take, and the store then counts as one
+// that has said all that it will.
+asio::awaitable<void> Stores::hear(std::shared_ptr<Line> line, Nanos until, Heard& heard) {
     using namespace postgres;
+    std::size_t total = 0;
     for (;;) {
         std::size_t wanted = 0;
         try {
             for (;;) {
                 const std::string_view unread = line->inbox.unread();
+                if (!mayBecomeAnswer(unread)) throw Garbled("no answer begins like this");
                 wanted = messageLength(unread);
                 if (wanted == 0 || unread.size() < wanted) break;
-                const std::string_view message = unread.substr(0, wanted);
-                std::string_view body = bodyOf(message);
-                switch (message[0]) {
-                    case 'S': {
-                        const std::string_view name = takeText(body), value = takeText(body);
-                        if (name == "role")
-                            heard.role = value == "primary"   ? Role::primary
-                                         : value == "replica" ? Role::replica
-                                                              : Role::unknown;
-                        if (name == "applied_ms")
-                            if (const auto ms = numberIn<double>(value))
-                                heard.position = believable(*ms * 1e6, clock_.now());
-                        if (name == "load") heard.report = readReport(value, clock_.now());
-                        break;
-                    }
-                    case 'D':
-                        if (heard.row) throw Garbled("a second row");
-                        heard.row = true;
-                        if (const auto value = onlyColumn(body)) heard.value = value->substr(0, 1024);
-                        [[fallthrough]];
-                    case 'T':
-                        heard.answer += message;
-                        break;
-                    case 'C':
-                        heard.answer += message;
-                        heard.whole = heard.row;
-                        break;
-                    case 'E':
-                        heard.code = errorField(body, 'C');
-                        if (const auto severity = errorField(body, 'S');
-                            severity == "FATAL" || severity == "PANIC")
-                            co_return;  // the store ends the connection, and says no more
-                        break;
-                    case 'R':
-                        if (body.size() < 4 || number(body) != 0) throw Garbled("asks for a password");
-                        break;
-                    case 'Z':
-                        heard.ready = true;
-                        line->inbox.use(wanted);
-                        co_return;
-                    case 'I':
-                    case 'K':
-                    case 'N':
-                        break;
-                    default:
-                        throw Garbled("message of an unknown kind");
-                }
+                heard.take(unread.substr(0, wanted), clock_.now());
                 line->inbox.use(wanted);
+                if (heard.over) co_return;
             }
+            if (total > 2 * longestMessage) throw Garbled("an answer without an end");
         } catch (const Garbled&) {
-            heard.garbled = true;
+            heard.spoilt = true;
             co_return;
         }
         const auto room = line->inbox.room(wanted);
         if (room.empty()) co_return;  // no memory for it: as if the connection had broken
+        if (total > 0) line->closeAt(clock_.at(std::min(until, clock_.now() + connectWithin_)));
         const auto [fault, got] =
             co_await line->socket.async_read_some(asio::buffer(room.data(), room.size()), quietly);
-        if (fault) co_return;
+        if (fault) {
+            heard.spoilt = line->overdue && clock_.now() < until;
+            co_return;
+        }
         line->inbox.filled(got);
+        total += got;
     }
 }
 
 asio::awaitable<bool> Stores::connect(std::shared_ptr<Line> line, Nanos until, Heard& heard) {
     const auto address = book_.find(line->store);
     if (address == book_.end()) co_return false;
-    line->closeAt(clock_.at(std::min(until, clock_.now() + connectWithin_)));
+    until = std::min(until, clock_.now() + connectWithin_);
+    line->closeAt(clock_.at(until));
     const tcp::endpoint to = address->second;
     const auto [fault] = co_await line->socket.async_connect(to, quietly);
     if (fault) co_return false;
@@ -140,7 +171,7 @@
     const std::string hello = postgres::startupMessage();
     const auto [unwritten, n] = co_await asio::async_write(line->socket, asio::buffer(hello), quietly);
     if (unwritten) co_return false;
-    co_await hear(line, heard);
+    co_await hear(line, until, heard);
     co_return heard.ready&& heard.code.empty() && !line->overdue;
 }
 
@@ -188,7 +219,7 @@
         heard.ready = true;
         keep(line, heard);
     } else {
-        heard = {};
+        heard = Heard(true);
         // Rounded up, as what is left of a millisecond is still waited for.
         const std::string d = std::to_string((until - clock_.now() + millis(1) - 1) / millis(1));
         const std::size_t length = statement.before.size() + d.size() + statement.after.size() + 1;
@@ -198,14 +229,16 @@
                                                           asio::buffer("", 1)};
         line->closeAt(clock_.at(until));
         const auto [unwritten, n] = co_await asio::async_write(line->socket, pieces, quietly);
-        if (!unwritten) co_await hear(line, heard);
-        if (heard.whole)
+        if (!unwritten) co_await hear(line, until, heard);
+        if (heard.spoilt)
+            result.how = Ending::spoilt;
+        else if (heard.ready && heard.whole)
             result.how = Ending::delivered;
-        else if (heard.code == "53300")
+        else if (heard.over && heard.code == "53300")
             result.how = Ending::full;
-        else if (heard.code == "25006" || heard.code == "72000")
+        else if (heard.over && (heard.code == "25006" || heard.code == "72000"))
             result.how = Ending::missed;
-        else if (!heard.code.empty())
+        else if (heard.over)
             result.how = Ending::error;
         else if (line->calledBack)
             result.how = Ending::cancelled;
@@ -213,6 +246,7 @@
             result.how = unwritten ? Ending::unsent : Ending::timedOut;
         else
             result.how = unwritten ? Ending::unreachable : Ending::broken;
+        if (!heard.over) heard = Heard();  // what has no end says nothing
         result.role = heard.role;
         result.position = heard.position;
         result.report = heard.report;
@@ -233,17 +267,19 @@
     if (!line) {
         if (heard.code == "53300") how = Ending::full;
     } else {
-        heard = {};
+        heard = Heard(true);
         std::string query;
         using namespace std::string_view_literals;
         postgres::putMessage(query, 'Q', reports_ ? "SHOW load\0"sv : "SELECT 1\0"sv);
         line->closeAt(clock_.at(until));
         const auto [unwritten, n] = co_await asio::async_write(line->socket, asio::buffer(query), quietly);
-        if (!unwritten) co_await hear(line, heard);
-        if (heard.whole) {
+        if (!unwritten) co_await hear(line, until, heard);
+        if (heard.spoilt) {
+            how = Ending::spoilt;
+        } else if (heard.ready && heard.whole) {
             how = Ending::delivered;
             if (reports_) report = readReport(heard.value, clock_.now());
-        } else if (!heard.code.empty()) {
+        } else if (heard.over) {
             how = heard.code == "53300" ? Ending::full : Ending::error;
         } else {
             how = line->overdue ? Ending::timedOut : Ending::broken;
--- a/src/wire/stores.hpp
+++ b/src/wire/stores.hpp
@@ -37,7 +37,7 @@
     asio::awaitable<bool> connect(std::shared_ptr<Line> line, Nanos until, Heard& heard);
     asio::awaitable<std::shared_ptr<Line>> reach(std::string store, Nanos until, Ticket* ticket,
                                                  Heard& heard);
-    asio::awaitable<void> hear(std::shared_ptr<Line> line, Heard& heard);
+    asio::awaitable<void> hear(std::shared_ptr<Line> line, Nanos until, Heard& heard);
     void keep(std::shared_ptr<Line> line, const Heard& heard);
 
     asio::any_io_executor on_;
@@ -50,7 +50,7 @@
     bool reports_;
 };
 
-// What a report says, told as 'name=value,...'. Figures that can't be are passed over.
+// What a report says, told as 'name=value,...'; nothing where any of it can't be.
 Report readReport(std::string_view text, Nanos now);
 
 }  // namespace granitereel
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -41,6 +41,19 @@
     assert(s.suspectSince);
 }
 
+// A spoilt answer is one all the same: the store is neither away nor silent, nor does it rest.
+void spoiltAnswerIsASignOfLife() {
+    Bench b;
+    Store& s = b.store("s");
+    b.launch(b.transaction(look), s);
+    b.distrust(s, false);
+    b.end("t", 0, s, Ending::spoilt);
+    assert(b.wellEnough(s) && b.launchedTo("t", "s") && b.notes.count("probe") == 0);
+    b.distrust(s, true);
+    b.front.probed("s", Ending::spoilt);
+    assert(!s.awaySince);
+}
+
 // Out of reach: probes find out. Away for a second, a store may be cold.
 void awayStoreComesBackByProbe() {
     Bench b;
@@ -246,6 +259,7 @@
     unusualSilenceIsNoticed();
     silentStoreIsTried();
     refusalDoesNotEndASilence();
+    spoiltAnswerIsASignOfLife();
     awayStoreComesBackByProbe();
     resetAsksForAProbe();
     fruitlessStoreRests();
--- a/tests/list.cpp
+++ b/tests/list.cpp
@@ -17,6 +17,31 @@
     assert(a.standing == Standing::up && z.standing == Standing::removed);
 }
 
+// A store that the list took out is forgotten in time, one that still works or is back is not.
+void forgetsWhatIsGone() {
+    Bench b;
+    for (const char* id : {"a", "b", "c", "d"}) b.store(id);
+    b.launch(b.transaction(look), *b.group.members[1]);
+    auto list = [&](const char* id, Standing standing) {
+        b.front.listBegins(false);
+        b.front.listEntry(id, 0, 0, standing, 0, false);
+        b.front.listEnds();
+    };
+    for (const char* id : {"a", "b", "c"}) list(id, Standing::removed);
+    list("c", Standing::up);
+    b.pass(59'000);
+    b.front.woke(0);
+    assert(b.front.knows("a"));
+    b.pass(2'000);
+    b.front.woke(0);
+    assert(!b.front.knows("a") && b.front.knows("b") && b.front.knows("c") && b.front.knows("d"));
+    assert(b.group.members.size() == 3);
+    b.end("t", 0, *b.group.members[0], Ending::delivered);
+    b.pass(1'000);
+    b.front.woke(0);
+    assert(!b.front.knows("b"));
+}
+
 // A list that names a primary is believed only while nothing better is known.
 void listNamesThePrimaryOnlyAtFirst() {
     Bench b;
@@ -139,6 +164,7 @@
 
 int main() {
     wholeListEndsTheMissing();
+    forgetsWhatIsGone();
     listNamesThePrimaryOnlyAtFirst();
     keepsAskingTheList();
     drainedPrimaryIsNone();
