--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -46,9 +46,8 @@
     tick_ = std::max<Nanos>(charter.tick, millis(1));
     coldTime_ = charter.coldTime;
     coldFrom_ = charter.coldFrom;
-    // A cold store is given at most this multiple of what its share of the warm stores' work would be. As no
-    // store bears more than it can do, 0.7 of the allowed multiple leaves room for chance and handshakes;
-    // beyond 2 it would only queue.
+    // A cold store gets at most this multiple of what its share of the warm stores' work would be. As none
+    // bears more than it can do, 0.7 leaves room for chance and handshakes; beyond 2 it would only queue.
     coldFactor_ = std::min(2.0, 0.7 * charter.fallMultiple);
     // Growth and shrinking of a window meet where it is in proportion to the root of this step. By the square
     // of the front's share, all fronts together keep out the same, however many they are; twice the share was
@@ -134,8 +133,7 @@
 }
 
 void Front::listFailed() {
-    // Asked again after half a second to a second and a half, spread by chance so that fronts that
-    // failed together don't call together.
+    // Half a second to a second and a half, by chance, as fronts that failed together shan't call together.
     askAt_ = std::min(askAt_, now_ + millis(500 + chance_() % 1000));
 }
 
@@ -306,13 +304,11 @@
 // ---- health ---------------------------------------------------------------------------------------
 
 namespace {
-// Gaps between answers, and work borne, are remembered for some seconds: shorter than most troubles, longer
-// than chance.
+// Gaps between answers, and work borne, are remembered for less than most troubles and more than chance.
 constexpr Nanos healthMemory = millis(5'000);
 // Half-life of a lane's mean time: long, since the lanes' work does not change within a day.
 constexpr Nanos laneMemory = millis(30'000);
-// The first trial of a doubtful store comes soon, since most troubles of a store are short; each later one
-// after twice the pause.
+// The first trial of a doubtful store comes soon, as most troubles are short; each later one after twice.
 constexpr Nanos firstTrial = millis(250);
 // Between two rounds of the front's own clockwork: a small part of any goal time.
 constexpr Nanos roundTime = millis(20);
@@ -348,11 +344,14 @@
         // A probe is answered: the store was well, but took no connection.
         if (!byWork && std::exchange(store.shut, false)) shut_.add(now_, healthMemory, 1);
         if (now_ - store.awaySince >= firstTrial) out_.log("store " + store.id + " is reachable again");
-        // Away for a second or more, it may have started again; the list may tell so much later.
-        if (now_ - store.awaySince > millis(1000)) store.started = std::max(store.started, now_);
+        // Away for a second or more, it may have started again, and the list may tell so much later. A dead
+        // process refuses connections meanwhile; what was only cut off gives no sign, and comes back warm.
+        if (store.refused && now_ - store.awaySince > millis(1000)) store.started = now_;
         store.paidUntil = std::min(store.paidUntil, now_);
+        store.nextTrial = now_;  // it was silent before it was away: its silence may have had the same cause
         store.awaySince = 0;
     }
+    store.refused = false;
 }
 
 void Front::distrust(Store& store, bool away) {
@@ -706,9 +705,7 @@
     if (launch == store->out.end()) return;
     const Launch done = *launch;
     // A spoilt answer tells no less that the store is there and works: any store may give one.
-    if (how == Ending::delivered || how == Ending::spoilt || how == Ending::error || how == Ending::full ||
-        how == Ending::missed)
-        hear(*store, how != Ending::full);
+    if (how <= Ending::missed) hear(*store, how != Ending::full);
     store->out.erase(launch);
     --store->load[tierOf(lanes_[done.lane])];
     // A launch that began at a primary says so even if the role was lost while it ran: it speaks for the
@@ -761,8 +758,9 @@
     if (how == Ending::unreachable || how == Ending::broken) distrust(store, true);
     // Turned away at once: the process is gone, or takes no further connection; a probe tells which.
     store.shut = how == Ending::unreachable && delay < millis(50);
-    // A broken connection may be the store's end or only the connection's: a probe tells soon.
-    if (how == Ending::broken) probe(store);
+    store.refused |= store.shut;
+    // Either may be the store's end or only the connection's: a probe tells soon.
+    if (how == Ending::broken || store.shut) probe(store);
     auto shrink = [&](double share) {
         // Once per 50 ms: answers that were held up together are one sign.
         if (now_ - store.shrunk < millis(50)) return;
@@ -904,6 +902,7 @@
     Store* store = find(id);
     if (!store) return;
     store->probing = false;
+    store->refused |= how == Ending::unreachable && now_ - store->probedAt < millis(50);
     // A probe's time is short. Where work from the store's zone was answered lately it says nothing that it
     // ran out: the way is slow, or loses messages. Three seconds give a front with few transactions some
     // answers.
@@ -936,8 +935,9 @@
         // Without probes the next launch is the trial, and its time must not be moved on here.
         if (mayProbe_ && store->awaySince && now_ >= store->nextTrial) {
             if (store->trialPause == firstTrial) out_.log("store " + store->id + " is out of reach");
-            // Each front of many asks that much more seldom; the list tells of most returns sooner.
-            store->trialPause = std::min(2 * store->trialPause, std::max(millis(1000), fronts_ * millis(20)));
+            // Each front of many asks that much more seldom; for a primary, a whole group waits.
+            const Nanos longest = groups_[store->group].primary == store ? firstTrial : millis(1000);
+            store->trialPause = std::min(2 * store->trialPause, std::max(longest, fronts_ * millis(20)));
             store->nextTrial = now_ + store->trialPause;
             probe(*store);
         }
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -23,8 +23,8 @@
 enum class Effect { harmless, stamped, oneShot };
 enum class Reach { group, zone, everywhere };  // which stores drop the repeats of a stamped transaction
 enum class Need { any, bounded, session, fresh, write };
-// Spoilt: the store has answered, but nothing that can be believed.
-enum class Ending { delivered, spoilt, error, full, timedOut, unreachable, broken, cancelled, unsent, missed };
+// The store has answered in all up to missed; spoilt: but nothing that can be believed.
+enum class Ending { delivered, spoilt, error, full, missed, timedOut, unreachable, broken, cancelled, unsent };
 enum class Role { unknown, primary, replica };
 enum class Standing { up, draining, removed };
 enum class Pool { premium, freemium, mixed, none };
@@ -143,6 +143,7 @@
     Nanos paidUntil = 0;  // launches are paid for, at the rate that a small window allows, up to this time
     int fruitless = 0;    // launches in a row
     bool shut = false;    // turned the last launch's connection away at once
+    bool refused = false;  // has done so, or to a probe, since it was last reached
     Nanos restsUntil = 0;
     double coldCredit = 0;
     Nanos coldCreditAt = 0;
