--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -69,6 +69,12 @@
         if (lane.need == Need::bounded) bound = bound == 0 ? lane.bound : std::min(bound, lane.bound);
     }
     for (Lane& lane : lanes_) lane.premium = worth(lane) >= top;
+    // Between two rounds of the front's own clockwork: a tenth of the shortest goal time, as clients who expect
+    // answers sooner can wait less for anything, 20 ms at most. The first trial of a doubtful store comes soon,
+    // as most troubles are short; each later one after twice that.
+    beat_ = millis(20);
+    for (const Lane& lane : lanes_) beat_ = std::max(tick_, std::min(beat_, lane.goalTime / 10));
+    firstTrial_ = beat_ * 25 / 2;
     // Half the tightest bound; without a bounded lane, a quarter of a second for the sessions' sake.
     probeAge_ = bound > 0 ? bound / 2 : millis(250);
     askAt_ = now_;
@@ -180,7 +186,7 @@
 void Front::seekPrimary(Group& group) {
     // Five looks a second: a switch takes seconds, and a look costs each member a probe. Of many fronts all
     // together make some 300 a second.
-    if (!probeTellsRole_ || now_ - group.soughtAt < std::max(millis(200), fronts_ * millis(3))) return;
+    if (!probeTellsRole_ || now_ - group.soughtAt < std::max(10 * beat_, fronts_ * millis(3))) return;
     group.soughtAt = now_;
     for (Store* store : group.members) probe(*store);
 }
@@ -308,10 +314,6 @@
 constexpr Nanos healthMemory = millis(5'000);
 // Half-life of a lane's mean time: long, since the lanes' work does not change within a day.
 constexpr Nanos laneMemory = millis(30'000);
-// The first trial of a doubtful store comes soon, as most troubles are short; each later one after twice.
-constexpr Nanos firstTrial = millis(250);
-// Between two rounds of the front's own clockwork: a small part of any goal time.
-constexpr Nanos roundTime = millis(20);
 }  // namespace
 
 double Front::workOf(int lane) {
@@ -343,7 +345,7 @@
     if (store.awaySince) {
         // A probe is answered: the store was well, but took no connection.
         if (!byWork && std::exchange(store.shut, false)) shut_.add(now_, healthMemory, 1);
-        if (now_ - store.awaySince >= firstTrial) out_.log("store " + store.id + " is reachable again");
+        if (now_ - store.awaySince >= firstTrial_) out_.log("store " + store.id + " is reachable again");
         // Away for a second or more, it may have started again, and the list may tell so much later. A dead
         // process refuses connections meanwhile; what was only cut off gives no sign, and comes back warm.
         if (store.refused && now_ - store.awaySince > millis(1000)) store.started = now_;
@@ -359,7 +361,7 @@
     if (since) return;
     since = now_;
     watch(store);
-    store.trialPause = firstTrial;
+    store.trialPause = firstTrial_;
     store.nextTrial = now_ + store.trialPause;
     if (!away) out_.log("store " + store.id + " is silent");
     // Of a store out of reach, nothing is called back: its launches break by themselves, or go on.
@@ -386,9 +388,9 @@
         if (!launch.cancelled && workOf(launch.lane) < 4 * quickest) since = std::min(since, launch.sent);
     if (since == std::numeric_limits<Nanos>::max()) return;
     const double silence = double(now_ - std::max(since, store.heard));
-    // Gaps are about exponential: one of 8 means is seen once in 3000. The further 100 ms forgive the
+    // Gaps are about exponential: one of 8 means is seen once in 3000. The further beats forgive the
     // short stalls that every store has.
-    if (silence > 8 * store.gaps.read(now_, healthMemory, quickest / 2) + 100e6) distrust(store, false);
+    if (silence > 8 * store.gaps.read(now_, healthMemory, quickest / 2) + double(5 * beat_)) distrust(store, false);
 }
 
 // Whether the way to another zone, not the stores there, makes answers late: most from there are, and at
@@ -762,8 +764,8 @@
     // Either may be the store's end or only the connection's: a probe tells soon.
     if (how == Ending::broken || store.shut) probe(store);
     auto shrink = [&](double share) {
-        // Once per 50 ms: answers that were held up together are one sign.
-        if (now_ - store.shrunk < millis(50)) return;
+        // Once in a few beats: answers that were held up together are one sign.
+        if (now_ - store.shrunk < beat_ * 5 / 2) return;
         store.shrunk = now_;
         // All fronts together go on keeping out some launches, and each goes on learning.
         const double least = std::min(0.25, 2.0 / fronts_);
@@ -771,13 +773,13 @@
     };
     if (how == Ending::full) shrink(0.7);
     // A store that turns work away at once looks idle, and would draw ever more; one that lets work lapse
-    // draws the next as soon as its slots are free. Either rests for 20 ms, twice as long after each further
-    // fruitless launch, 640 ms at most, until it delivers. It guards against stores that are full, out of
+    // draws the next as soon as its slots are free. Either rests for a beat, twice as long after each further
+    // fruitless launch, 32 beats at most, until it delivers. It guards against stores that are full, out of
     // slots or all but dead, and should catch any that fail fast; a full group waits that much longer.
     const bool tooLong = how == Ending::timedOut && double(delay) > workOf(launch.lane);
     if (how == Ending::full || how == Ending::error || how == Ending::broken || tooLong) {
         store.fruitless = std::min(store.fruitless + 1, 6);
-        store.restsUntil = now_ + millis(10 << store.fruitless);
+        store.restsUntil = now_ + (beat_ / 2 << store.fruitless);
     }
     if (how == Ending::delivered) store.fruitless = 0;
     const bool late = double(delay) > 0.6 * double(lane.goalTime);
@@ -848,7 +850,7 @@
     // on in vain; its client asks again sooner if it is told now. It guards against groups without a primary,
     // and should catch any store that takes nothing. It may hurt where the wait would have ended just after.
     const Nanos half = t.arrived + (t.cutOff - t.arrived) / 2;
-    if (t.arrivedThere == 0 && soonest > t.goal && now_ + roundTime + 2 * tick_ > half) return true;
+    if (t.arrivedThere == 0 && soonest > t.goal && now_ + beat_ + 2 * tick_ > half) return true;
     return lane.effect == Effect::stamped && t.mayHaveRunSince && now_ >= t.mayHaveRunSince + lane.window;
 }
 
@@ -924,7 +926,7 @@
 // The front's own clockwork. It looks at what may need it alone, as a front may know hundreds of stores and
 // use few of them at a time.
 void Front::round() {
-    out_.wake(now_ + roundTime, 0);
+    out_.wake(now_ + beat_, 0);
     tendList();
     std::erase_if(watched_, [](Store* s) {
         s->watched = s->standing == Standing::up && (!s->out.empty() || s->awaySince);
@@ -934,9 +936,9 @@
         judgeSilence(*store);
         // Without probes the next launch is the trial, and its time must not be moved on here.
         if (mayProbe_ && store->awaySince && now_ >= store->nextTrial) {
-            if (store->trialPause == firstTrial) out_.log("store " + store->id + " is out of reach");
+            if (store->trialPause == firstTrial_) out_.log("store " + store->id + " is out of reach");
             // Each front of many asks that much more seldom; for a primary, a whole group waits.
-            const Nanos longest = groups_[store->group].primary == store ? firstTrial : millis(1000);
+            const Nanos longest = groups_[store->group].primary == store ? firstTrial_ : millis(1000);
             store->trialPause = std::min(2 * store->trialPause, std::max(longest, fronts_ * millis(20)));
             store->nextTrial = now_ + store->trialPause;
             probe(*store);
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -278,7 +278,7 @@
     std::vector<UsualPatience> usualPatience_;
     int front_, fronts_, zone_, launchLimit_;
     bool mayProbe_, mayCancel_, mustAsk_, storesCheck_, marksKept_, probeTellsRole_, onlyDrainingBinds_;
-    Nanos advice_, askEvery_, tick_, coldTime_, probeAge_, catchUpWait_;
+    Nanos advice_, askEvery_, tick_, beat_, firstTrial_, coldTime_, probeAge_, catchUpWait_;
     double coldFrom_, coldFactor_, step_;
 
     std::map<std::string, std::unique_ptr<Store>> stores_;
