--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,12 +1,10 @@
 // The decisions of granitereel: which store runs a transaction, when, and what its client is told.
 //
-// How it is called: one Front serves one front. Its interface, and the Outlet through which it acts,
-// stand in front.hpp. The caller sets the clock, then hands over what has come in, in the order of
-// arrival: list entries, transactions, endings of launches, reports, probe results and its own timers.
-// The Front answers by calls on its Outlet. It keeps no threads, and sees nothing but these calls.
-//
-// Read it in the order of its sections: list and roles, pools, freshness, health, pick, launch and
-// outcome, rule guards. docs/design.md tells which parts come from the paper.
+// One Front serves one front. Its interface, and the Outlet through which it acts, stand in front.hpp. The
+// caller sets the clock, then hands over what has come in, in the order of arrival: list entries,
+// transactions, endings of launches, reports, probe results and its own timers. The Front keeps no threads,
+// and sees nothing else. Read it in the order of its sections; docs/design.md tells which parts come from the
+// paper.
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -17,12 +15,8 @@
 namespace granitereel {
 
 namespace {
-int tierOf(const Lane& lane) {
-    return lane.premium ? 0 : 1;
-}
-Pool poolOf(int tier) {
-    return tier == 0 ? Pool::premium : Pool::freemium;
-}
+constexpr auto tierOf = [](const Lane& lane) { return lane.premium ? 0 : 1; };
+constexpr auto poolOf = [](int tier) { return tier == 0 ? Pool::premium : Pool::freemium; };
 }  // namespace
 
 Front::Front(const Charter& charter, std::uint64_t seed, Nanos now, Outlet& outlet)
@@ -50,8 +44,7 @@
     // bears more than it can do, 0.7 leaves room for chance and handshakes; beyond 2 it would only queue.
     coldFactor_ = std::min(2.0, 0.7 * charter.fallMultiple);
     // Growth and shrinking of a window meet where it is in proportion to the root of this step. By the square
-    // of the front's share, all fronts together keep out the same, however many they are; twice the share was
-    // the best of those tried.
+    // of the front's share, all fronts together keep out the same; twice the share was the best tried.
     step_ = 4.0 / (fronts_ * fronts_);
     // Clients that heed advice are asked to stay away a tenth of the longest they would heed.
     advice_ = charter.adviceHeard ? charter.longestAdvice / 10 : 0;
@@ -69,9 +62,9 @@
         if (lane.need == Need::bounded) bound = bound == 0 ? lane.bound : std::min(bound, lane.bound);
     }
     for (Lane& lane : lanes_) lane.premium = worth(lane) >= top;
-    // Between two rounds of the front's own clockwork: a tenth of the shortest goal time, as clients who expect
-    // answers sooner can wait less for anything, 20 ms at most. The first trial of a doubtful store comes soon,
-    // as most troubles are short; each later one after twice that.
+    // Between two rounds of the front's own clockwork: a tenth of the shortest goal time, 20 ms at most. The
+    // first trial of a doubtful store comes soon, as most troubles are short; each later one after twice
+    // that.
     beat_ = millis(20);
     for (const Lane& lane : lanes_) beat_ = std::max(tick_, std::min(beat_, lane.goalTime / 10));
     firstTrial_ = beat_ * 25 / 2;
@@ -81,11 +74,6 @@
     out_.wake(now_, 0);
 }
 
-Store* Front::find(const std::string& id) {
-    auto it = stores_.find(id);
-    return it == stores_.end() ? nullptr : it->second.get();
-}
-
 // ---- list and roles -------------------------------------------------------------------------------
 
 void Front::tendList() {
@@ -112,8 +100,8 @@
         slot->group = groupNo;
         slot->zone = zone;
         slot->started = started;
-        // What all fronts together keep out at a store before they have seen it work: about what a store of
-        // a few cores answers well within most goal times.
+        // What all fronts together keep out at a store before they have seen it work: about what a store of a
+        // few cores answers well within most goal times.
         slot->window = 24.0 / fronts_;
         group.members.push_back(slot.get());
         std::sort(group.members.begin(), group.members.end(), [](auto* a, auto* b) { return a->id < b->id; });
@@ -153,13 +141,13 @@
     if (group.primary == &store && standing != Standing::up) setPrimary(group, nullptr);
 }
 
-// Positions are times, so a report that says 'primary' tells when it was made. Of two statements the
-// later one holds.
+// Positions are times, so a report that says 'primary' tells when it was made. Of two statements the later
+// one holds.
 void Front::tellRole(Store& store, Role role, Nanos asOf, bool byAnswer) {
     store.roleHeard = now_;
     if (asOf < store.roleAsOf) return;
-    // A primary that hands over turns writes away but still calls itself one to reads; and no store that
-    // lost the role has it back within a second.
+    // A primary that hands over turns writes away but still calls itself one to reads; and no store that lost
+    // the role has it back within a second.
     if (role == Role::primary && store.lostRole && asOf < store.lostRole + millis(1000)) return;
     if (byAnswer) store.toldReplica = role == Role::replica;
     store.role = role;
@@ -197,8 +185,8 @@
         if (!wellEnough(*group.primary)) return nullptr;
         return hasRoom(*group.primary, transaction) ? group.primary : nullptr;
     }
-    // Unknown: members in order, past each that has said within the last second that it is none. The
-    // last launch is kept for the primary.
+    // Unknown: members in order, past each that has said within the last second that it is none. The last
+    // launch is kept for the primary.
     if (transaction.launches + 1 >= launchLimit_) return nullptr;
     for (Store* store : group.members) {
         if (store->standing != Standing::up || !wellEnough(*store) || !hasRoom(*store, transaction)) continue;
@@ -211,8 +199,8 @@
 // ---- pools ----------------------------------------------------------------------------------------
 
 namespace {
-// The threshold at which a replica counts as full for a tier, and the watermarks below which a tier
-// gives borrowed replicas back: the design's starting values.
+// The threshold at which a replica counts as full for a tier, and the watermarks below which a tier gives
+// borrowed replicas back: the design's starting values.
 constexpr int theta = 2;
 constexpr double alpha[2] = {0.60, 0.80};
 constexpr int freemiumFloor = 1;
@@ -314,12 +302,13 @@
 constexpr Nanos healthMemory = millis(5'000);
 // Half-life of a lane's mean time: long, since the lanes' work does not change within a day.
 constexpr Nanos laneMemory = millis(30'000);
+// This multiple of the usual time is seen once in 150 where times are exponential, as they are about.
+constexpr double muchOf = 5;
 }  // namespace
 
 double Front::workOf(int lane) {
-    // Before answers tell, a quarter of the goal time: operators set goals at some times the usual work. A
-    // front that has few transactions goes by this for long, and must not take long work for silence
-    // meanwhile.
+    // Before answers tell, a quarter of the goal time: operators set goals at some times the usual work, and
+    // a front that has few transactions must not take long work for silence meanwhile.
     return laneTime_[lane].read(now_, laneMemory, double(lanes_[lane].goalTime) / 4);
 }
 
@@ -388,15 +377,33 @@
         if (!launch.cancelled && workOf(launch.lane) < 4 * quickest) since = std::min(since, launch.sent);
     if (since == std::numeric_limits<Nanos>::max()) return;
     const double silence = double(now_ - std::max(since, store.heard));
-    // Gaps are about exponential: one of 8 means is seen once in 3000. The further beats forgive the
-    // short stalls that every store has.
-    if (silence > 8 * store.gaps.read(now_, healthMemory, quickest / 2) + double(5 * beat_)) distrust(store, false);
+    // Gaps are about exponential: one of 8 means is seen once in 3000. The further beats forgive the short
+    // stalls that every store has.
+    const double usual = store.gaps.read(now_, healthMemory, quickest / 2);
+    if (silence > 8 * usual + double(5 * beat_)) distrust(store, false);
+}
+
+// A first, harmless launch out for much of its lane's time is called back if it can still be in time
+// elsewhere and most that were out so long of late never came. One in four is left, so that this stays known.
+// It guards against connections that fall silent while their store goes on answering, and should catch
+// answers that get lost or stop short. It may hurt where work varies so much that slow looks lost.
+void Front::judgeDelay(Launch& launch) {
+    const double work = workOf(launch.lane);
+    if (launch.judged || launch.cancelled || double(now_ - launch.sent) < muchOf * work) return;
+    launch.judged = true;
+    const Transaction* t = inHand(launch.transaction);
+    if (!mayCancel_ || !t || lanes_[launch.lane].effect != Effect::harmless || launch.number > 0 ||
+        now_ + static_cast<Nanos>(work) > t->goal || slowCame_.read(now_, healthMemory, 1) > 0.5 ||
+        chance_() % 4 == 0)
+        return;
+    launch.cancelled = true;
+    out_.cancel(launch.transaction, launch.number);
 }
 
 // Whether the way to another zone, not the stores there, makes answers late: most from there are, and at
-// least twice as many as from the own zone. What all stores of a zone show is known to a front that has few
-// transactions when it knows next to nothing of each. It guards against links that slow or lose what is sent,
-// and should catch cut ones; it may hurt where all stores of a zone are crowded.
+// least twice as many as from the own zone; a front with few transactions knows more of a zone than of each
+// store. It guards against links that slow or lose what is sent, and should catch cut ones; it may hurt where
+// all stores of a zone are crowded.
 bool Front::slowWay(const Store& store) {
     if (store.zone == zone_) return false;
     const double there = ways_[store.zone].late.read(now_, healthMemory, 0);
@@ -440,9 +447,8 @@
 }
 
 bool Front::hasRoom(Store& store, const Transaction& transaction) {
-    // Reads that spill over to the primary get half of its window, or more where their gain for their work is
-    // more beside that of the best write: 1.4 of their part of both, so that equal gains leave writes a
-    // third.
+    // Reads that spill over to the primary get half of its window, or 1.4 of their part of the gain for the
+    // work, theirs and the best write's, where that is more: equal gains leave writes a third.
     const Need need = lanes_[transaction.lane].need;
     double share = 1;
     if (groups_[store.group].primary == &store && need != Need::write && need != Need::fresh) {
@@ -454,9 +460,8 @@
     }
     const double window = share * store.window;
     // A window below one is kept by payment: each launch pays the time that it is out, divided by the window,
-    // and two may run ahead: a write and the reads that follow it come together. So all fronts together keep
-    // out what they would with one window, however slow the answers. Reads that spill over may run ahead by
-    // their part alone.
+    // and two may run ahead: a write and the reads that follow it come together. So all fronts keep out what
+    // they would with one window, however slow the answers. Spilt reads run ahead by their part alone.
     const double ahead = 2 * (1 - share) * workOf(transaction.lane) / window;
     if (window < 1 && (store.out.size() >= 2 || store.paidUntil > now_ - static_cast<Nanos>(ahead)))
         return false;
@@ -552,9 +557,9 @@
 
 // Departure: a long transaction that needs no fresh data goes to the first replica by id that will do. It
 // stops the application of the log where it runs; spread over the pools it would make every replica unfit for
-// bounded and session reads, so that all of these fall on the primary. It needs no agreement: all fronts know
-// the same ids, and few of them know who lags most. It should also keep long work off good replicas when the
-// log is slow or cut off for other reasons. It may hurt where long work is most of the load, or lists differ.
+// other reads, and these fall on the primary. All fronts know the same ids, and few know who lags most. It
+// should also hold when the log is slow for other reasons. It may hurt where long work is most of the load,
+// or lists differ.
 Store* Front::pickForLong(Group& group, const Transaction& transaction) {
     for (Store* s : group.members)
         if (s->standing == Standing::up && s != group.primary && wellEnough(*s) && hasRoom(*s, transaction))
@@ -568,9 +573,9 @@
 }
 
 // Departure: where a replica that may well be fresh enough has just been asked how fresh it is, a read waits
-// for the answer rather than burden the primary. A front with few reads knows no position young enough, and
-// all such fronts together would send most reads to the primaries. It should also hold where answers tell no
-// positions. It may hurt where the way is slow: so no longer than a tenth of the goal time.
+// for the answer rather than burden the primary: fronts with few reads know no position young enough. It
+// should also hold where answers tell none. It may hurt where the way is slow: so for a tenth of the goal
+// time at most.
 bool Front::awaitsReport(const Group& group, const Transaction& transaction) const {
     const Lane& lane = lanes_[transaction.lane];
     if (lane.need != Need::bounded && lane.need != Need::session) return false;
@@ -616,9 +621,9 @@
 
 // Clients that ask again are not marked, but a try is given what is left of the lane's cut-off, and first
 // tries are all given alike. So a try with another patience is a repeat, and its goal time started with the
-// first try. It guards against repeats of what is late already crowding out what is not; it should also
-// catch clients that arrive late by way of a dead front. It may hurt where clients' patience simply varies:
-// then no value finds support, and nobody has waited.
+// first try. It guards against repeats of what is late already crowding out what is not, and should catch
+// clients that come late by way of a dead front. Where patience simply varies no value finds support, and
+// nobody has waited.
 Nanos Front::alreadyWaited(int lane, Nanos patience) {
     UsualPatience& usual = usualPatience_[lane];
     // First tries differ by the way to the front alone: 2% of the cut-off covers it.
@@ -710,21 +715,20 @@
     if (how <= Ending::missed) hear(*store, how != Ending::full);
     store->out.erase(launch);
     --store->load[tierOf(lanes_[done.lane])];
-    // A launch that began at a primary says so even if the role was lost while it ran: it speaks for the
-    // time of its sending. Else a primary that hands over seems to lose and win the role with each answer.
+    // A launch that began at a primary says so even if the role was lost while it ran: it speaks for the time
+    // of its sending. Else a primary that hands over seems to lose and win the role with each answer.
     if (role != Role::unknown) tellRole(*store, role, role == Role::primary ? done.sent : now_, true);
     // A commit is told rounded up to the next millisecond, a position rounded down.
     if (position) tellPosition(*store, *position - (lanes_[done.lane].need == Need::write ? millis(1) : 0));
     settleAccount(*store, done, how, delay);
 
-    auto it = transactions_.find(id);
-    if (it != transactions_.end()) {
-        Transaction& t = *it->second;
+    if (Transaction* found = inHand(id)) {
+        Transaction& t = *found;
         --t.out;
         if (how == Ending::unreachable || how == Ending::unsent) --t.arrivedThere;
         if (how == Ending::delivered && position && marksKept_ && lanes_[t.lane].need == Need::write) {
-            // Two generations of marks bound the memory; a forgotten one is answered by the newest of
-            // its generation, which asks for more than needed. 20,000 is some minutes of writes.
+            // Two generations of marks bound the memory; a forgotten one is answered by the newest of its
+            // generation, which asks for more than needed. 20,000 is some minutes of writes.
             if (marks_.size() >= 20'000) {
                 for (auto& [user, mark] : olderMarks_) markFloor_ = std::max(markFloor_, mark);
                 olderMarks_ = std::move(marks_);
@@ -751,6 +755,8 @@
     // What it was out beyond the usual time that it has paid for is paid now, five seconds ahead at most, or
     // so far that all fronts together still try a store that is jammed ten times a second. Only what was
     // worked on or missed sooner is paid back: a store that turns launches away fast would cost nothing else.
+    if (double(delay) > muchOf * workOf(launch.lane) && (how == Ending::delivered || how == Ending::timedOut))
+        slowCame_.add(now_, healthMemory, how == Ending::delivered ? 1 : 0);
     const double beyond = (double(delay) - workOf(launch.lane)) / store.window;
     const bool farOff = slowWay(store);
     const bool owes = beyond > 0 && !farOff && how != Ending::unreachable;
@@ -793,18 +799,17 @@
         shrink(store.window < 1 ? 0.5 : 0.85);
     if (how != Ending::delivered) return;
     // Where a tenth of the launches find a store that is well but takes no connection, its table is full of
-    // others' idle ones. Each front then gives back its own after use. It guards against more fronts than a
-    // store takes connections, and should catch tables that fill for other reasons; it costs a handshake a
-    // launch.
+    // others' idle ones, and each front gives back its own after use. It guards against more fronts than a
+    // store takes connections, and should catch tables full for other reasons; it costs a handshake a launch.
     shut_.add(now_, healthMemory, 0);
     if (store.out.empty() && shut_.read(now_, healthMemory, 0) > 0.1) out_.hangUp(store.id);
     laneTime_[launch.lane].add(now_, laneMemory, double(delay));
     store.borne.add(now_, healthMemory, workOf(launch.lane));
     // The window grows with answers in good time where it binds, and shrinks when one comes near its goal
     // time: waiting then is better done here, where the highest gain goes first. The fiftieth lets a front
-    // that has most of a group's traffic outgrow its share. A replica that slips from half the bound to twice
-    // it gets less, too: it is crowded, and applies the log too slowly to serve bounded reads soon. Further
-    // behind it is a lost cause, and may as well work.
+    // with most of a group's traffic outgrow its share. A replica that slips from half the bound to twice it
+    // gets less, too, being crowded; further behind it is a lost cause for bounded reads, and may as well
+    // work.
     const Nanos lag = store.positionTold - store.position;
     const bool slipping = lag > probeAge_ && lag < 4 * probeAge_ && !isLong(launch.lane);
     if (slipping || (late && !farOff))
@@ -863,8 +868,7 @@
 }
 
 void Front::giveUp(const std::string& id) {
-    auto it = transactions_.find(id);
-    if (it != transactions_.end()) finish(*it->second);
+    if (Transaction* t = inHand(id)) finish(*t);
 }
 
 void Front::forget(Transaction& t) {
@@ -881,14 +885,11 @@
 
 // The answer of a streamed lane has begun: the client has it now, and no time binds it any more.
 void Front::begun(const std::string& id) {
-    auto it = transactions_.find(id);
-    if (it == transactions_.end()) return;
-    it->second->goal = it->second->cutOff = std::numeric_limits<Nanos>::max();
+    if (Transaction* t = inHand(id)) t->goal = t->cutOff = std::numeric_limits<Nanos>::max();
 }
 
 void Front::lapsed(const std::string& id) {
-    auto it = transactions_.find(id);
-    if (it != transactions_.end()) forget(*it->second);
+    if (Transaction* t = inHand(id)) forget(*t);
 }
 
 void Front::probe(Store& store) {
@@ -905,7 +906,7 @@
     if (!store) return;
     store->probing = false;
     store->refused |= how == Ending::unreachable && now_ - store->probedAt < millis(50);
-    // A probe's time is short. Where work from the store's zone was answered lately it says nothing that it
+    // A probe's time is short. Where work from the store's zone was answered lately, it says nothing that it
     // ran out: the way is slow, or loses messages. Three seconds give a front with few transactions some
     // answers.
     const bool slow = how == Ending::timedOut && now_ - ways_[store->zone].heard < millis(3000);
@@ -934,6 +935,7 @@
     });
     for (Store* store : watched_) {
         judgeSilence(*store);
+        for (Launch& each : store->out) judgeDelay(each);
         // Without probes the next launch is the trial, and its time must not be moved on here.
         if (mayProbe_ && store->awaySince && now_ >= store->nextTrial) {
             if (store->trialPause == firstTrial_) out_.log("store " + store->id + " is out of reach");
@@ -984,10 +986,6 @@
     if (!std::exchange(store.watched, true)) watched_.push_back(&store);
 }
 
-void Front::woke(std::int64_t) {
-    round();
-}
-
 // ---- rule guards ----------------------------------------------------------------------------------
 
 bool Front::mayLaunch(const Transaction& t, const Store& store) const {
@@ -998,19 +996,15 @@
     return lane.reach != Reach::zone || store.zone == t.boundZone;
 }
 
-// Between the pick and the first byte on the wire lies the connecting. It guards against a list or an
-// answer that comes meanwhile, and against a position that has grown too old; it should also catch any other
-// pause of the caller. It costs a launch of the few that a transaction has.
+// Between the pick and the first byte on the wire lies the connecting. It guards against a list or an answer
+// that comes meanwhile, and a position grown too old; it costs a launch of the few that a transaction has.
 bool Front::mayStillGo(const std::string& id, const std::string& storeId) const {
-    const auto transaction = transactions_.find(id);
-    const auto found = stores_.find(storeId);
-    if (transaction == transactions_.end() || found == stores_.end()) return false;
-    const Transaction& t = *transaction->second;
-    const Store& store = *found->second;
-    if (store.standing != Standing::up) return false;
-    const Need need = lanes_[t.lane].need;
-    if (need == Need::any || need == Need::write || storesCheck_ || freshEnough(store, t)) return true;
-    return t.group->primary == &store && mayReadPrimary(store);
+    const Transaction* t = inHand(id);
+    const Store* store = find(storeId);
+    if (!t || !store || store->standing != Standing::up) return false;
+    const Need need = lanes_[t->lane].need;
+    if (need == Need::any || need == Need::write || storesCheck_ || freshEnough(*store, *t)) return true;
+    return t->group->primary == store && mayReadPrimary(*store);
 }
 
 bool Front::mayNack(const Transaction& t) const {
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -112,7 +112,7 @@
     std::string transaction;
     int number = 0, lane = 0;
     Nanos sent = 0;
-    bool cancelled = false;
+    bool cancelled = false, judged = false;
 };
 
 struct Store {
@@ -199,7 +199,7 @@
     void lapsed(const std::string& id);
     void reported(const std::string& store, std::optional<Nanos> position, std::optional<bool> primary);
     void probed(const std::string& store, Ending how);
-    void woke(std::int64_t handle);
+    void woke(std::int64_t) { round(); }
 
     // For a caller that needs a while to connect: whether a launch may still be written to its store.
     bool mayStillGo(const std::string& id, const std::string& store) const;
@@ -234,6 +234,7 @@
     void distrust(Store& store, bool away);
     void recall(Store& store);
     void judgeSilence(Store& store);
+    void judgeDelay(Launch& launch);
     bool slowWay(const Store& store);
     bool wellEnough(const Store& store) const;
     double coldShare(const Store& store) const;
@@ -268,7 +269,14 @@
     bool mayLaunch(const Transaction& transaction, const Store& store) const;
     bool mayNack(const Transaction& transaction) const;
 
-    Store* find(const std::string& id);
+    Store* find(const std::string& id) const {
+        const auto found = stores_.find(id);
+        return found == stores_.end() ? nullptr : found->second.get();
+    }
+    Transaction* inHand(const std::string& id) const {
+        const auto found = transactions_.find(id);
+        return found == transactions_.end() ? nullptr : found->second.get();
+    }
 
     Outlet& out_;
     std::minstd_rand chance_;
@@ -290,6 +298,7 @@
     std::vector<Store*> unseen_, watched_;
     std::vector<Group*> waiting_;  // those that hold transactions
     Nanos askAt_ = 0, weighAt_ = 0, refreshedAt_ = 0;
+    RecentMean slowCame_;  // share that came in the end of launches that were out for long
     RecentMean shut_;     // share of launches that found a store well but shut to them
     double bearing_ = 0;  // work a second that a warm store does for this front
 };
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -17,6 +17,44 @@
     assert(s.suspectSince && b.notes.count("cancel l") == 1 && b.notes.count("cancel w") == 0);
 }
 
+// A launch that is out for much longer than usual is called back once most such launches were lost of late, and
+// goes elsewhere; not while they came in the end, not a write, and not where no time is left for another try.
+void lostLaunchesAreCalledBack() {
+    for (const bool lost : {false, true}) {
+        Bench b;
+        Store& s = b.store("s");
+        for (int i = 0; i < 50; ++i) b.seen(look, millis(10)), b.seen(pay, millis(10));
+        s.gaps.add(b.now, millis(5000), 1e9);  // it goes on answering others
+        const auto out = [&](const std::string& kind, int n, int lane) {
+            for (int i = 0; i < n; ++i) b.launch(b.transaction(lane, kind + std::to_string(i)), s);
+        };
+        out("past", 8, look);
+        for (int i = 0; i < 8; ++i)
+            b.front.ended("past" + std::to_string(i), 0, "s", lost ? Ending::timedOut : Ending::delivered,
+                          millis(300), Role::unknown, {}, true);
+        b.pass(1000);
+        out("read", 40, look);
+        out("write", 40, pay);
+        b.pass(40);
+        b.front.woke(0);
+        assert(b.notes.count("cancel") == 0);
+        b.pass(30);
+        b.front.woke(0);
+        b.front.woke(0);
+        assert(b.notes.count("cancel write") == 0);
+        assert(lost ? b.notes.count("cancel read") > 20 && b.notes.count("cancel read") < 40
+                    : b.notes.count("cancel") == 0);
+        if (!lost) continue;
+        const int before = b.notes.count("cancel");
+        Transaction& late = b.transaction(look, "late");
+        late.goal = b.now + millis(55);
+        b.launch(late, s);
+        b.pass(60);
+        b.front.woke(0);
+        assert(b.notes.count("cancel") == before);
+    }
+}
+
 // A silent store gets single trials, and is whole again once it delivers.
 void silentStoreIsTried() {
     Bench b;
@@ -289,6 +327,7 @@
 
 int main() {
     unusualSilenceIsNoticed();
+    lostLaunchesAreCalledBack();
     silentStoreIsTried();
     refusalDoesNotEndASilence();
     spoiltAnswerIsASignOfLife();
