--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -20,26 +20,17 @@
 }  // namespace
 
 Front::Front(const Charter& charter, std::uint64_t seed, Nanos now, Outlet& outlet)
-    : out_(outlet), chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483647)), now_(now) {
+    : out_(outlet),
+      chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483647)),
+      now_(now),
+      charter_(charter) {
     chance_.discard(2);  // else seeds that lie close together begin alike
     lanes_ = charter.lanes;
     laneTime_.resize(lanes_.size());
     usualPatience_.resize(lanes_.size());
-    front_ = charter.front;
     fronts_ = std::max(1, charter.fronts);
-    zone_ = charter.zone;
-    launchLimit_ = charter.launchLimit;
-    mayProbe_ = charter.mayProbe;
-    mayCancel_ = charter.mayCancel;
-    mustAsk_ = charter.mustAsk;
-    storesCheck_ = charter.storesCheck;
-    catchUpWait_ = charter.catchUpWait;
-    marksKept_ = charter.marksKept;
     probeTellsRole_ = charter.mayProbe && charter.reportsTellRole;
-    onlyDrainingBinds_ = charter.onlyDrainingBinds;
     tick_ = std::max<Nanos>(charter.tick, millis(1));
-    coldTime_ = charter.coldTime;
-    coldFrom_ = charter.coldFrom;
     // A cold store gets at most this multiple of what its share of the warm stores' work would be. As none
     // bears more than it can do, 0.7 leaves room for chance and handshakes; beyond 2 it would only queue.
     coldFactor_ = std::min(2.0, 0.7 * charter.fallMultiple);
@@ -77,7 +68,7 @@
 // ---- list and roles -------------------------------------------------------------------------------
 
 void Front::tendList() {
-    if (!mustAsk_ || now_ < askAt_) return;
+    if (!charter_.mustAsk || now_ < askAt_) return;
     askAt_ = now_ + askEvery_;
     out_.followList(true);
 }
@@ -133,7 +124,7 @@
 
 void Front::standDown(Store& store, Standing standing) {
     if (standing == Standing::removed) store.goneAt = now_;
-    if (standing == Standing::removed && onlyDrainingBinds_ && store.standing == Standing::up) return;
+    if (standing == Standing::removed && charter_.onlyDrainingBinds && store.standing == Standing::up) return;
     store.standing = standing;
     watch(store);
     Group& group = groups_[store.group];
@@ -187,7 +178,7 @@
     }
     // Unknown: members in order, past each that has said within the last second that it is none. The last
     // launch is kept for the primary.
-    if (transaction.launches + 1 >= launchLimit_) return nullptr;
+    if (transaction.launches + 1 >= charter_.launchLimit) return nullptr;
     for (Store* store : group.members) {
         if (store->standing != Standing::up || !wellEnough(*store) || !hasRoom(*store, transaction)) continue;
         if (store->role == Role::replica && now_ - store->roleHeard < millis(1000)) continue;
@@ -219,7 +210,7 @@
     group.target[0] = std::clamp(static_cast<int>(std::lround(0.4 * n)), 1, std::max(1, n - 1));
     group.target[1] = std::min(std::max(1, static_cast<int>(std::lround(0.4 * n))), n - group.target[0]);
     for (int i = 0; i < n; ++i) {
-        Store* store = replicas[(i + front_) % n];
+        Store* store = replicas[(i + charter_.front) % n];
         store->pool = i < group.target[0]                     ? Pool::premium
                       : i < group.target[0] + group.target[1] ? Pool::freemium
                                                               : Pool::mixed;
@@ -279,7 +270,7 @@
     const Lane& lane = lanes_[transaction.lane];
     const Nanos lag = store.positionTold - store.position;
     const Nanos need = lane.need == Need::bounded ? now_ - lane.bound : transaction.mustSee;
-    return store.position < 0 || now_ + catchUpWait_ - lag >= need;
+    return store.position < 0 || now_ + charter_.catchUpWait - lag >= need;
 }
 
 bool Front::mayReadPrimary(const Store& store) const {
@@ -359,7 +350,7 @@
 
 // Calls back what can safely run elsewhere.
 void Front::recall(Store& store) {
-    if (!mayCancel_) return;
+    if (!charter_.mayCancel) return;
     for (Launch& launch : store.out) {
         if (launch.cancelled || lanes_[launch.lane].effect != Effect::harmless) continue;
         if (!transactions_.count(launch.transaction)) continue;
@@ -392,7 +383,7 @@
     if (launch.judged || launch.cancelled || double(now_ - launch.sent) < muchOf * work) return;
     launch.judged = true;
     const Transaction* t = inHand(launch.transaction);
-    if (!mayCancel_ || !t || lanes_[launch.lane].effect != Effect::harmless || launch.number > 0 ||
+    if (!charter_.mayCancel || !t || lanes_[launch.lane].effect != Effect::harmless || launch.number > 0 ||
         now_ + static_cast<Nanos>(work) > t->goal || slowCame_.read(now_, healthMemory, 1) > 0.5 ||
         chance_() % 4 == 0)
         return;
@@ -405,20 +396,21 @@
 // store. It guards against links that slow or lose what is sent, and should catch cut ones; it may hurt where
 // all stores of a zone are crowded.
 bool Front::slowWay(const Store& store) {
-    if (store.zone == zone_) return false;
+    if (store.zone == charter_.zone) return false;
     const double there = ways_[store.zone].late.read(now_, healthMemory, 0);
-    return there > 0.5 && there > 2 * ways_[zone_].late.read(now_, healthMemory, 0);
+    return there > 0.5 && there > 2 * ways_[charter_.zone].late.read(now_, healthMemory, 0);
 }
 
 bool Front::wellEnough(const Store& store) const {
-    if (store.awaySince && mayProbe_) return false;  // the probes of round() find out
+    if (store.awaySince && charter_.mayProbe) return false;  // the probes of round() find out
     if (now_ < store.restsUntil) return false;
     return (!store.suspectSince && !store.awaySince) || now_ >= store.nextTrial;
 }
 
 double Front::coldShare(const Store& store) const {
-    if (store.started == 0 || now_ - store.started >= coldTime_) return 1;
-    return coldFrom_ + (1 - coldFrom_) * double(now_ - store.started) / double(coldTime_);
+    if (store.started == 0 || now_ - store.started >= charter_.coldTime) return 1;
+    return charter_.coldFrom +
+           (1 - charter_.coldFrom) * double(now_ - store.started) / double(charter_.coldTime);
 }
 
 double Front::coldRate(const Store& store) const {
@@ -490,21 +482,22 @@
 // Whether a store gives way to one in this front's zone. Not where its window is below one launch: this
 // front's loads then say nothing, so nothing would hold a zone's fronts back from one store.
 bool Front::zoneCounts(const Store& store) const {
-    return store.window >= 1 && store.zone != zone_;
+    return store.window >= 1 && store.zone != charter_.zone;
 }
 
 Store* Front::pickReplica(Group& group, const Transaction& transaction) {
     const int tier = tierOf(lanes_[transaction.lane]);
     if (group.redeal) deal(group);
     giveBack(group, tier);
-    bool anyWay = false;
+    bool near = charter_.crossingCost > 0, anyWay = false;
     auto usable = [&](Store* s) {
         return s->standing == Standing::up && s != group.primary && wellEnough(*s) &&
-               freshEnough(*s, transaction) && (anyWay || !slowWay(*s)) && hasRoom(*s, transaction);
+               freshEnough(*s, transaction) && (anyWay || !slowWay(*s)) && !(near && zoneCounts(*s)) &&
+               hasRoom(*s, transaction);
     };
     auto least = [&](auto admits, auto load) {
         return leastOf(
-            group, front_, [&](Store* s) { return admits(s) && usable(s); },
+            group, charter_.front, [&](Store* s) { return admits(s) && usable(s); },
             [&](Store* s) {
                 return std::tuple{slowWay(*s), load(s), zoneCounts(*s)};
             });
@@ -520,39 +513,47 @@
             wanted = s;
     // Where stores check, one that may well be fresh enough is read without being asked, as its answer tells;
     // one a second is asked all the same, so that what no read goes to stays known.
-    const bool answerTells = storesCheck_ && wanted && mayCatchUp(*wanted, transaction);
+    const bool answerTells = charter_.storesCheck && wanted && mayCatchUp(*wanted, transaction);
     if (wanted && lanes_[transaction.lane].need != Need::any &&
         (!answerTells || now_ - refreshedAt_ >= millis(1000))) {
         if (answerTells) refreshedAt_ = now_;
         probe(*wanted);
     }
 
-    Store* ownLeast = least(own, ownLoad);
-    if (ownLeast && ownLoad(ownLeast) < theta) return ownLeast;
-
     auto borrow = [&](Store* s) {
         s->lender = s->pool;
         s->pool = poolOf(tier);
         return s;
     };
-    // Mixed first: least load of the borrower, then of the other tier.
     auto mixed = [&](Store* s) { return s->pool == Pool::mixed; };
-    if (Store* s = least(mixed, [&](Store* m) { return m->load[tier] * 1000 + m->load[1 - tier]; }))
-        return borrow(s);
-    if (tier == 0 && poolSize(group, Pool::freemium) - 1 >= freemiumFloor) {
-        const int mine = ownLeast ? ownLoad(ownLeast) : std::numeric_limits<int>::max();
-        auto lighter = [&](Store* s) { return s->pool == Pool::freemium && s->load[0] + s->load[1] < mine; };
-        if (Store* s = least(lighter, [](Store* m) { return m->load[0] + m->load[1]; })) return borrow(s);
-    }
-    if (tier == 1 && poolSize(group, Pool::premium) - 1 >= group.target[0]) {
-        auto empty = [&](Store* s) { return s->pool == Pool::premium && s->load[0] == 0; };
-        if (Store* s = least(empty, [](Store* m) { return m->load[1]; })) return borrow(s);
+    auto bothLoads = [](Store* s) { return s->load[0] + s->load[1]; };
+    // Departure: where crossing zones costs, the design's steps are gone through with the own zone's replicas
+    // first, then with all; up to twice the threshold while under a tenth of the zone's answers come late. It
+    // may hurt where the own zone's are slower than their reads in flight tell.
+    const bool calm = ways_[charter_.zone].late.read(now_, healthMemory, 0) < 0.1;
+    for (;; near = false) {
+        Store* ownLeast = least(own, ownLoad);
+        if (ownLeast && ownLoad(ownLeast) < (near && calm ? 2 * theta : theta)) return ownLeast;
+        // Mixed first: least load of the borrower, then of the other tier.
+        if (Store* s = least(mixed, [&](Store* m) { return m->load[tier] * 1000 + m->load[1 - tier]; }))
+            return borrow(s);
+        if (tier == 0 && poolSize(group, Pool::freemium) - 1 >= freemiumFloor) {
+            const int mine = ownLeast ? ownLoad(ownLeast) : std::numeric_limits<int>::max();
+            auto lighter = [&](Store* s) { return s->pool == Pool::freemium && bothLoads(s) < mine; };
+            if (Store* s = least(lighter, bothLoads)) return borrow(s);
+        }
+        if (tier == 1 && poolSize(group, Pool::premium) - 1 >= group.target[0]) {
+            auto empty = [&](Store* s) { return s->pool == Pool::premium && s->load[0] == 0; };
+            if (Store* s = least(empty, [](Store* m) { return m->load[1]; })) return borrow(s);
+        }
+        if (near) continue;
+        if (ownLeast) return ownLeast;
+        break;
     }
-    if (ownLeast) return ownLeast;
     anyWay = true;
     // Departure: no own replica will do. A replica of the other tier that will do is used, without being
     // borrowed, before the primary is burdened.
-    return least([](Store*) { return true; }, [](Store* s) { return s->load[0] + s->load[1]; });
+    return least([](Store*) { return true; }, bothLoads);
 }
 
 // Departure: a long transaction that needs no fresh data goes to the first replica by id that will do. It
@@ -579,7 +580,7 @@
 bool Front::awaitsReport(const Group& group, const Transaction& transaction) const {
     const Lane& lane = lanes_[transaction.lane];
     if (lane.need != Need::bounded && lane.need != Need::session) return false;
-    if (storesCheck_ || now_ - transaction.arrived > lane.goalTime / 10) return false;
+    if (charter_.storesCheck || now_ - transaction.arrived > lane.goalTime / 10) return false;
     const Nanos need = lane.need == Need::bounded ? now_ - lane.bound : transaction.mustSee;
     return std::any_of(group.members.begin(), group.members.end(), [&](const Store* s) {
         // When last told, it lagged by less than the need allows.
@@ -597,11 +598,11 @@
     if (awaitsReport(group, transaction)) return nullptr;
     Store* primary = group.primary;
     if (!primary || !wellEnough(*primary)) seekPrimary(group);
-    if (storesCheck_ && need != Need::fresh) {
+    if (charter_.storesCheck && need != Need::fresh) {
         // Stores that check for themselves: the least-behind replica, if it may catch up while it waits. One
         // that lags too far for that would only hold the transaction up. Lags within the bound are alike.
         Store* best = leastOf(
-            group, front_,
+            group, charter_.front,
             [&](Store* s) {
                 return s->standing == Standing::up && s != primary && wellEnough(*s) &&
                        mayCatchUp(*s, transaction) && hasRoom(*s, transaction);
@@ -610,7 +611,7 @@
                 const Nanos lag = s->position < 0 ? 0 : (s->positionTold - s->position) / (2 * probeAge_);
                 return std::tuple{slowWay(*s), lag, s->load[0] + s->load[1], zoneCounts(*s)};
             });
-        if (best && transaction.launches + 1 < launchLimit_) return best;
+        if (best && transaction.launches + 1 < charter_.launchLimit) return best;
     }
     if (primary && mayReadPrimary(*primary) && wellEnough(*primary) && hasRoom(*primary, transaction))
         return primary;
@@ -660,7 +661,7 @@
     t.goal = now_ + lanes_.at(lane).goalTime - alreadyWaited(lane, patience);
     t.cutOff = now_ + patience;
     if (sinceWrite) t.mustSee = now_ - *sinceWrite;
-    if (lanes_[lane].need == Need::session && marksKept_) {
+    if (lanes_[lane].need == Need::session && charter_.marksKept) {
         auto mark = marks_.find(user);
         if (mark == marks_.end()) mark = olderMarks_.find(user);
         t.mustSee = mark == marks_.end() || mark == olderMarks_.end() ? markFloor_ : mark->second;
@@ -669,7 +670,7 @@
 }
 
 void Front::route(Transaction& t) {
-    if (hopeless(t) || t.launches >= launchLimit_) return finish(t);
+    if (hopeless(t) || t.launches >= charter_.launchLimit) return finish(t);
     if (Store* store = pick(*t.group, t)) return launch(t, *store);
     hold(t);
 }
@@ -690,10 +691,6 @@
         store.nextTrial = now_ + store.trialPause;
     }
     out_.launch(t.id, store.id, 0);
-    if (lane.effect == Effect::harmless) {
-        t.next = [this, &t](Ending) { route(t); };
-        return;
-    }
     t.next = [this, &t, sent = now_, zone = store.zone](Ending how) {
         const bool neverRan = how == Ending::full || how == Ending::unreachable || how == Ending::unsent ||
                               how == Ending::missed;
@@ -726,7 +723,8 @@
         Transaction& t = *found;
         --t.out;
         if (how == Ending::unreachable || how == Ending::unsent) --t.arrivedThere;
-        if (how == Ending::delivered && position && marksKept_ && lanes_[t.lane].need == Need::write) {
+        if (how == Ending::delivered && position && charter_.marksKept &&
+            lanes_[t.lane].need == Need::write) {
             // Two generations of marks bound the memory; a forgotten one is answered by the newest of its
             // generation, which asks for more than needed. 20,000 is some minutes of writes.
             if (marks_.size() >= 20'000) {
@@ -873,7 +871,7 @@
 
 void Front::forget(Transaction& t) {
     if (t.held) std::erase(t.group->held, &t);
-    if (t.out > 0 && mayCancel_)
+    if (t.out > 0 && charter_.mayCancel)
         for (Store* store : t.group->members)
             for (Launch& launch : store->out)
                 if (!launch.cancelled && launch.transaction == t.id) {
@@ -893,7 +891,7 @@
 }
 
 void Front::probe(Store& store) {
-    if (!mayProbe_ || store.probing || store.standing != Standing::up) return;
+    if (!charter_.mayProbe || store.probing || store.standing != Standing::up) return;
     store.probing = true;
     store.probedAt = now_;
     // Booked as a millisecond of a cold store's work, well over what probes cost.
@@ -937,7 +935,7 @@
         judgeSilence(*store);
         for (Launch& each : store->out) judgeDelay(each);
         // Without probes the next launch is the trial, and its time must not be moved on here.
-        if (mayProbe_ && store->awaySince && now_ >= store->nextTrial) {
+        if (charter_.mayProbe && store->awaySince && now_ >= store->nextTrial) {
             if (store->trialPause == firstTrial_) out_.log("store " + store->id + " is out of reach");
             // Each front of many asks that much more seldom; for a primary, a whole group waits.
             const Nanos longest = groups_[store->group].primary == store ? firstTrial_ : millis(1000);
@@ -990,7 +988,7 @@
 
 bool Front::mayLaunch(const Transaction& t, const Store& store) const {
     const Lane& lane = lanes_[t.lane];
-    if (store.standing != Standing::up || t.out > 0 || t.launches >= launchLimit_) return false;
+    if (store.standing != Standing::up || t.out > 0 || t.launches >= charter_.launchLimit) return false;
     if (!t.mayHaveRunSince || lane.effect == Effect::harmless) return true;
     if (lane.effect == Effect::oneShot || now_ >= t.mayHaveRunSince + lane.window) return false;
     return lane.reach != Reach::zone || store.zone == t.boundZone;
@@ -1003,7 +1001,8 @@
     const Store* store = find(storeId);
     if (!t || !store || store->standing != Standing::up) return false;
     const Need need = lanes_[t->lane].need;
-    if (need == Need::any || need == Need::write || storesCheck_ || freshEnough(*store, *t)) return true;
+    if (need == Need::any || need == Need::write || charter_.storesCheck || freshEnough(*store, *t))
+        return true;
     return t->group->primary == store && mayReadPrimary(*store);
 }
 
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -24,7 +24,18 @@
 enum class Reach { group, zone, everywhere };  // which stores drop the repeats of a stamped transaction
 enum class Need { any, bounded, session, fresh, write };
 // The store has answered in all up to missed; spoilt: but nothing that can be believed.
-enum class Ending { delivered, spoilt, error, full, missed, timedOut, unreachable, broken, cancelled, unsent };
+enum class Ending {
+    delivered,
+    spoilt,
+    error,
+    full,
+    missed,
+    timedOut,
+    unreachable,
+    broken,
+    cancelled,
+    unsent
+};
 enum class Role { unknown, primary, replica };
 enum class Standing { up, draining, removed };
 enum class Pool { premium, freemium, mixed, none };
@@ -55,6 +66,7 @@
     Nanos catchUpWait = 0;  // how long a store that checks waits to catch up
     Nanos longestAdvice = 0, askWithin = 0, tick = 0, coldTime = 0;
     double coldFrom = 1, fallMultiple = 1;
+    double crossingCost = 0;  // of a launch to another zone, as a share of a transaction's gain
 };
 
 // The ways in which a front acts. Launches of a transaction are numbered from 0 in the order made.
@@ -140,9 +152,9 @@
     double window = 0;  // launches this front keeps out here at most
     Nanos shrunk = 0;
     Nanos suspectSince = 0, awaySince = 0, nextTrial = 0, trialPause = 0;
-    Nanos paidUntil = 0;  // launches are paid for, at the rate that a small window allows, up to this time
-    int fruitless = 0;    // launches in a row
-    bool shut = false;    // turned the last launch's connection away at once
+    Nanos paidUntil = 0;   // launches are paid for, at the rate that a small window allows, up to this time
+    int fruitless = 0;     // launches in a row
+    bool shut = false;     // turned the last launch's connection away at once
     bool refused = false;  // has done so, or to a probe, since it was last reached
     Nanos restsUntil = 0;
     double coldCredit = 0;
@@ -171,7 +183,7 @@
     Group* group = nullptr;
     Nanos arrived = 0, goal = 0, cutOff = 0, mustSee = 0;
     int launches = 0, out = 0;
-    int arrivedThere = 0;  // launches that have reached a store, or still may
+    int arrivedThere = 0;       // launches that have reached a store, or still may
     Nanos mayHaveRunSince = 0;  // send of the first launch that may have run; 0: none may have
     int boundZone = -1;
     bool held = false;
@@ -284,10 +296,11 @@
     std::vector<Lane> lanes_;
     std::vector<RecentMean> laneTime_;
     std::vector<UsualPatience> usualPatience_;
-    int front_, fronts_, zone_, launchLimit_;
-    bool mayProbe_, mayCancel_, mustAsk_, storesCheck_, marksKept_, probeTellsRole_, onlyDrainingBinds_;
-    Nanos advice_, askEvery_, tick_, beat_, firstTrial_, coldTime_, probeAge_, catchUpWait_;
-    double coldFrom_, coldFactor_, step_;
+    const Charter charter_;
+    int fronts_;
+    bool probeTellsRole_;
+    Nanos advice_, askEvery_, tick_, beat_, firstTrial_, probeAge_;
+    double coldFactor_, step_;
 
     std::map<std::string, std::unique_ptr<Store>> stores_;
     std::map<int, Group> groups_;
@@ -299,8 +312,8 @@
     std::vector<Group*> waiting_;  // those that hold transactions
     Nanos askAt_ = 0, weighAt_ = 0, refreshedAt_ = 0;
     RecentMean slowCame_;  // share that came in the end of launches that were out for long
-    RecentMean shut_;     // share of launches that found a store well but shut to them
-    double bearing_ = 0;  // work a second that a warm store does for this front
+    RecentMean shut_;      // share of launches that found a store well but shut to them
+    double bearing_ = 0;   // work a second that a warm store does for this front
 };
 
 }  // namespace granitereel
--- a/src/run/charter.cpp
+++ b/src/run/charter.cpp
@@ -71,6 +71,8 @@
     charter.coldTime = nanosOf(number(guarantees, "ramp-time-ms"));
     charter.coldFrom = number(guarantees, "cold-from", 1);
     charter.fallMultiple = number(guarantees, "fall-multiple", 1);
+    if (const auto charges = present(settings, "charges"))
+        charter.crossingCost = number(object(*charges), "cross-zone");
     charter.onlyDrainingBinds = mark(guarantees, "drain-binds-alone");
 
     // Zero would mean that no connection is ever in time; a second is what most clients of stores allow.
--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -89,7 +89,8 @@
 }
 
 // SIGHUP: the config is read again. Of what stands in it, where discovery listens is taken over, whatever the
-// environment or the command line said at the start; the rest must be sound, and holds from the next start on.
+// environment or the command line said at the start; the rest must be sound, and holds from the next start
+// on.
 asio::awaitable<void> Program::reloads() {
     for (;;) {
         co_await hangUps_.async_wait(quietly);
--- a/src/wire/clients.cpp
+++ b/src/wire/clients.cpp
@@ -19,8 +19,8 @@
 // A client that does not take its answer is waited for this long: several times what a slow link needs for a
 // whole value.
 constexpr auto patience = std::chrono::seconds(10);
-// What makes no sense is owed an error or a close within 3 s. So long a new client may take until it has asked
-// for something that can be taken in hand, and any client for the rest of a message that it has begun.
+// What makes no sense is owed an error or a close within 3 s. So long a new client may take until it has
+// asked for something that can be taken in hand, and any client for the rest of a message that it has begun.
 constexpr auto mostSilence = std::chrono::milliseconds(2500);
 // So much is read after a last answer, so that closing does not reset it away. Who says more does not listen.
 constexpr std::size_t mostPassedOver = 64 * 1024;
@@ -304,9 +304,9 @@
         },
         whole);
     // An hour is more than any client waits; a position fits a time in nanoseconds.
-    const bool sound = whole && !odd && !known.lane.empty() && !known.id.empty() &&
-                       known.id.size() <= 128 && known.d && *known.d > 0 && *known.d <= 3'600'000 &&
-                       known.group && *known.group >= 0 && *known.group <= 1'000'000'000 &&
+    const bool sound = whole && !odd && !known.lane.empty() && !known.id.empty() && known.id.size() <= 128 &&
+                       known.d && *known.d > 0 && *known.d <= 3'600'000 && known.group && *known.group >= 0 &&
+                       *known.group <= 1'000'000'000 &&
                        (!known.after || (*known.after >= 0 && *known.after < 9'000'000'000'000));
     if (!sound) co_return errorAnswer("08P01", "not a statement of the form that is served here");
     const auto lane = lanes_.find(known.lane);
--- a/src/wire/statement.hpp
+++ b/src/wire/statement.hpp
@@ -47,7 +47,8 @@
         return there;
     };
     sql = detail::trim(sql);
-    if (!take(write ? "INSERT INTO state (uid, val) VALUES ('" : "SELECT val FROM state WHERE uid = '")) return {};
+    if (!take(write ? "INSERT INTO state (uid, val) VALUES ('" : "SELECT val FROM state WHERE uid = '"))
+        return {};
     const std::string_view key = sql.substr(0, sql.find('\''));
     sql.remove_prefix(key.size());
     if (key.empty() || key.size() > longestKey) return {};
--- a/src/wire/stores.cpp
+++ b/src/wire/stores.cpp
@@ -52,8 +52,8 @@
 }
 
 // What has been heard on a connection since its statement was written, or since it was opened. An answer has
-// one form: a row's description, the row, the command's end, and the store's settings somewhere among them; or
-// an error in place of what is left. Nothing of it counts before it is whole and the store is ready.
+// one form: a row's description, the row, the command's end, and the store's settings somewhere among them;
+// or an error in place of what is left. Nothing of it counts before it is whole and the store is ready.
 struct Stores::Heard {
     Heard() = default;
     explicit Heard(bool isAnswer) : asked(isAnswer) {}
--- a/tests/health.cpp
+++ b/tests/health.cpp
@@ -17,8 +17,9 @@
     assert(s.suspectSince && b.notes.count("cancel l") == 1 && b.notes.count("cancel w") == 0);
 }
 
-// A launch that is out for much longer than usual is called back once most such launches were lost of late, and
-// goes elsewhere; not while they came in the end, not a write, and not where no time is left for another try.
+// A launch that is out for much longer than usual is called back once most such launches were lost of late,
+// and goes elsewhere; not while they came in the end, not a write, and not where no time is left for another
+// try.
 void lostLaunchesAreCalledBack() {
     for (const bool lost : {false, true}) {
         Bench b;
--- a/tests/input.cpp
+++ b/tests/input.cpp
@@ -66,15 +66,16 @@
          {"", "SELECT 1", "/* id=1 SELECT", "/* id */ SELECT val FROM state WHERE uid = 'k'",
           "/* =1 */ SELECT val FROM state WHERE uid = 'k'", "/* id=1 */ DROP TABLE 'k'", "/* id=1 */",
           "/* id=1,, */ SELECT val FROM state WHERE uid = 'k'", "/* id=1 */ SELECT 'k'", "/* id=1 *",
-          "/* id=1 */ SELECT val FROM state WHERE uid = 'k", "/* id=1 */ SELECT val FROM state WHERE uid = ''",
+          "/* id=1 */ SELECT val FROM state WHERE uid = 'k",
+          "/* id=1 */ SELECT val FROM state WHERE uid = ''",
           "/* id=1 */ SELECT val FROM state WHERE uid = 'k'; SELECT 'l'",
           "/* id=1 */ INSERT INTO state (uid, val) VALUES ('k', '\\x0') RETURNING val",
           "/* id=1 */ INSERT INTO state (uid, val) VALUES ('k', '\\xgg') RETURNING val",
           "/* id=1 */ INSERT INTO state (uid, val) VALUES ('k', '\\x00')"})
         assert(form(wrong).empty());
-    assert(!keyOf("INSERT INTO state (uid, val) VALUES ('k', '\\x" + std::string(131'074, '0') +
-                      "') RETURNING val",
-                  true));
+    assert(!keyOf(
+        "INSERT INTO state (uid, val) VALUES ('k', '\\x" + std::string(131'074, '0') + "') RETURNING val",
+        true));
 }
 
 void messages() {
@@ -104,9 +105,8 @@
     const Nanos now = millis(1'767'225'600'000);
     const Report good = readReport("inflight=7,x0=1767225599.5,x1=1", now);
     assert(good.position == now - millis(500) && good.primary == true);
-    for (const char* wrong :
-         {"", "x0", "x0=", "x0=inf,x1=nan", "x0=-1", "x0=1e300", "x0=1767225700", "=,=,,",
-          "x0=1767225599,x1=?", "x1=1,x0=1767225700", "x0=1767225599,\xff"}) {
+    for (const char* wrong : {"", "x0", "x0=", "x0=inf,x1=nan", "x0=-1", "x0=1e300", "x0=1767225700", "=,=,,",
+                              "x0=1767225599,x1=?", "x1=1,x0=1767225700", "x0=1767225599,\xff"}) {
         const Report report = readReport(wrong, now);
         assert(!report.position && !report.primary);
     }
@@ -142,7 +142,7 @@
     };
     assert(told(std::string("Q\0\0\0\2", 5)) == "08P01");          // a lying length
     assert(told(std::string("Q\x7f\xff\xff\xff", 5)) == "08P01");  // an oversized one
-    assert(told(std::string("Q\0\0\0\6ab", 7)) == "08P01");  // text without an end
+    assert(told(std::string("Q\0\0\0\6ab", 7)) == "08P01");        // text without an end
     assert(told(std::string("P\0\0\0\x8"
                             "a\0b\0",
                             9)) == "0A000");  // the extended protocol
@@ -189,7 +189,8 @@
 }
 
 // Clients that never bring a whole statement are closed within 3 s: those that say nothing, with a crowd of
-// them others are served all the same, those that stop in the middle, and those that have far too much to say.
+// them others are served all the same, those that stop in the middle, and those that have far too much to
+// say.
 void clientsThatNeverAsk() {
     Stage stage(false, 64);
     std::vector<End> crowd;
@@ -224,12 +225,17 @@
     const std::string row = End::row("v"), ready = std::string("Z\0\0\0\5I", 6);
     const std::size_t data = row.find('D'), end = row.size() - 14;
     const std::string wrongs[] = {
-        "D" + std::string("\xff\xff\xff\xff", 4), std::string("!\0\0\0\4", 5), row + row,
-        std::string("R\0\0\0\x8\0\0\0\3", 9), std::string("S\0\0\0\6ab", 7),
-        row.substr(data) + ready,                         // no description
-        row.substr(0, data) + row.substr(end) + ready,    // no row
-        row.substr(0, end) + ready,                       // no end
-        row + "noise", ready, row.substr(0, data + 11),   // a value that stops
+        "D" + std::string("\xff\xff\xff\xff", 4),
+        std::string("!\0\0\0\4", 5),
+        row + row,
+        std::string("R\0\0\0\x8\0\0\0\3", 9),
+        std::string("S\0\0\0\6ab", 7),
+        row.substr(data) + ready,                       // no description
+        row.substr(0, data) + row.substr(end) + ready,  // no row
+        row.substr(0, end) + ready,                     // no end
+        row + "noise",
+        ready,
+        row.substr(0, data + 11),  // a value that stops
         row.substr(0, data) + std::string("D\0\0\0\x0b\0\2\0\0\0\1v", 12) + row.substr(end) + ready,
         row.substr(0, data) + std::string("D\0\0\0\x0b\0\1\0\0\0\2v", 12) + row.substr(end) + ready,
         row.substr(0, data) + std::string("D\xb2\xd0\x5e\0\0\1", 7) + std::string(100'000, 'x')};
--- a/tests/pools.cpp
+++ b/tests/pools.cpp
@@ -38,6 +38,30 @@
     assert(b.pickReplica(t) == &light && light.lender == Pool::freemium);
 }
 
+// Where crossing zones costs, the steps are gone through with the own zone's replicas first, to twice the
+// threshold while their answers are not late; then with all.
+void ownZoneFirst() {
+    for (const bool costs : {false, true})
+        for (const bool late : {false, true}) {
+            Charter c = charter();
+            c.crossingCost = costs ? 0.05 : 0;
+            Bench b(c);
+            Store &far = b.store("a", Pool::premium), &mixed = b.store("b", Pool::mixed),
+                  &own = b.store("c", Pool::premium);
+            far.zone = 1;
+            own.load[0] = 1;
+            const Transaction& t = b.transaction(look);
+            assert(b.pickReplica(t) == (costs ? &own : &far));
+            for (int i = 0; late && i < 9; ++i) b.settle(own, Ending::delivered, millis(399));
+            own.load[0] = 2;
+            assert(b.pickReplica(t) == (!costs ? &far : late ? &mixed : &own));
+            own.load[0] = mixed.load[0] = 100;
+            own.window = mixed.window = 0.5;
+            own.paidUntil = mixed.paidUntil = b.now + millis(1000);
+            assert(b.pickReplica(t) == &far);
+        }
+}
+
 void keepsTheFreemiumFloor() {
     Bench b;
     Store& own = b.store("a", Pool::premium);
@@ -95,6 +119,7 @@
     dealsTwoFifths();
     takesTheLeastLoadedOfItsOwn();
     borrowsMixedThenFreemium();
+    ownZoneFirst();
     keepsTheFreemiumFloor();
     freemiumBorrowsAboveTheTarget();
     givesBackAtTheWatermark();
