Keep one budget of descriptors: clients at rest make way before the places are full

Cause: 126 of the 128 places that clients may hold (a third of the descriptors) were held by clients that had asked once, 117 of them at rest (counted twice a second); the table let 201 stay and closed none before that. Stores, decisions, memory and CPU were ruled out in the issue.

Change: src/places, free of I/O, decides who holds which descriptor and who makes way: from a quarter of them on those at rest go, the longest-resting that asked once first, those that come again when overdue by their own habit and at a pace. Lines to stores may have what clients leave, and give it back. ClientTable and LinePool carry it out.

--- a/src/front.hpp
+++ b/src/front.hpp
@@ -13,12 +13,9 @@
 #include <unordered_map>
 #include <vector>
 
-namespace granitereel {
+#include "nanos.hpp"
 
-using Nanos = std::int64_t;
-constexpr Nanos millis(std::int64_t n) {
-    return n * 1'000'000;
-}
+namespace granitereel {
 
 enum class Effect { harmless, stamped, oneShot };
 enum class Reach { group, zone, everywhere };  // which stores drop the repeats of a stamped transaction
--- a/src/memory/clients.cpp
+++ b/src/memory/clients.cpp
@@ -13,7 +13,8 @@
 
 void Client::leaveTable() {
     if (!kept) return;
-    kept->proven_ -= proven;
+    kept->places_.leaves(seat);
+    kept->bySeat_.erase(seat);
     std::exchange(kept, nullptr)->all_.erase(place);
 }
 
@@ -22,16 +23,16 @@
     return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-bool Client::quietFor(std::chrono::milliseconds span) {
+bool Client::quiet() {
     if (busy || !waiting.empty() || !socket.is_open()) return false;
     // Half a message of one that is known to ask well is waited for.
     if (proven && !inbox.unread().empty()) return false;
-    return heard <= Steady::now() - span && !unread();
+    return !unread();
 }
 
 void Client::prove() {
-    if (kept && !proven) ++kept->proven_;
     proven = true;
+    if (kept) kept->places_.asks(seat, kept->clock_.now());
     if (inbox.unread().empty()) sayBy = never;
 }
 
@@ -44,32 +45,47 @@
 
 void ClientTable::add(Client& client) {
     client.kept = this;
+    client.seat = places_.comes(clock_.now());
     client.place = all_.insert(all_.end(), &client);
+    bySeat_[client.seat] = &client;
 }
 
 void ClientTable::touch(Client& client) {
     client.heard = std::chrono::steady_clock::now();
-    if (client.kept) all_.splice(all_.end(), all_, client.place);
+    if (!client.kept) return;
+    const bool atRest = !client.busy && client.waiting.empty() && client.inbox.unread().empty();
+    if (atRest)
+        places_.rests(client.seat, clock_.now());
+    else
+        places_.stirs(client.seat, clock_.now());
 }
 
-bool ClientTable::evict(bool proven) {
-    // A client asks at once after its welcome, or keeps the connection for later: a quarter of a second is
-    // well over the way here and back, and half of that enough for one that has yet to ask for anything. It
-    // guards against crowds that say nothing, and should catch any that connect faster than they ask.
-    const std::chrono::milliseconds span(proven ? 250 : 125);
-    for (Client* client : all_) {
-        if (client->proven != proven || !client->quietFor(span)) continue;
-        client->close();
-        client->leaveTable();
+bool ClientTable::makeWay(Choice choice) {
+    // Of those that are named and stir after all there may be several; each is named once.
+    while (const auto seat = (places_.*choice)(clock_.now())) {
+        Client& client = *bySeat_.at(*seat);
+        if (!client.quiet()) {
+            places_.stirs(*seat, clock_.now());
+            continue;
+        }
+        client.close();
+        client.leaveTable();
         return true;
     }
     return false;
 }
 
+bool ClientTable::hasPlace() {
+    return !places_.full() || makeWay(&Places::givesPlace);
+}
+
 bool ClientTable::admits() {
-    while (proven_ >= most_)
-        if (!evict(true)) return false;
-    return true;
+    return places_.admits() || makeWay(&Places::givesTurn);
+}
+
+void ClientTable::relieve() {
+    while (makeWay(&Places::relieves)) {
+    }
 }
 
 void ClientTable::closeQuiet(std::chrono::milliseconds span) {
--- a/src/memory/clients.hpp
+++ b/src/memory/clients.hpp
@@ -7,8 +7,11 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
+#include "clock.hpp"
 #include "inbox.hpp"
+#include "places/places.hpp"
 
 namespace granitereel {
 
@@ -38,8 +41,9 @@
     void close();
     // It has asked for something that could be taken in hand.
     void prove();
-    // Nothing is asked of the front here, not even in bytes that it has yet to read, and was not for a while.
-    bool quietFor(std::chrono::milliseconds span);
+    // Nothing is asked of the front here, not even in bytes that it has yet to read.
+    bool quiet();
+    bool quietFor(std::chrono::milliseconds span) { return heard <= Steady::now() - span && quiet(); }
     bool unread();
     // Nobody counts it any more.
     void leaveTable();
@@ -59,30 +63,34 @@
     // When the table closes it: what it must have said by then, what it must have taken.
     Steady::time_point sayBy = never, takeBy = never;
     ClientTable* kept = nullptr;
+    Places::Seat seat = 0;
     std::list<Client*>::iterator place;
 };
 
-// All clients, the one heard from longest ago first.
+// All clients. It tells their places what they do, and closes those that these name.
 class ClientTable {
 public:
-    explicit ClientTable(std::size_t most) : most_(most) {}
+    ClientTable(Places& places, const Clock& clock) : places_(places), clock_(clock) {}
     void add(Client& client);
+    // Something has come from it, or was written to it.
     void touch(Client& client);
     std::size_t count() const { return all_.size(); }
-    bool full() const { return all_.size() > most_; }
-    // Whether one more may ask, once a quiet one has made way if need be.
+    // Whether one more may come, once another has made way if need be; the same of asking.
+    bool hasPlace();
     bool admits();
-    // Closes the one that has been quiet longest, if it was so for long enough that no request is on its way;
-    // those that have yet to ask for anything come first.
-    bool evict() { return evict(false) || evict(true); }
+    // Closes those that are to make way before the table is full.
+    void relieve();
     void closeQuiet(std::chrono::milliseconds span);
     void closeOverdue();
 
 private:
     friend struct Client;
-    bool evict(bool proven);
-    std::size_t most_, proven_ = 0;
+    using Choice = std::optional<Places::Seat> (Places::*)(Nanos);
+    bool makeWay(Choice choice);
+    Places& places_;
+    const Clock& clock_;
     std::list<Client*> all_;
+    std::unordered_map<Places::Seat, Client*> bySeat_;
 };
 
 }  // namespace granitereel
--- a/src/memory/stores.cpp
+++ b/src/memory/stores.cpp
@@ -50,18 +50,20 @@
 }
 
 std::shared_ptr<Line> LinePool::make(const std::string& store, Budget& budget) {
-    if (open_ >= most_) {
-        // The one idle longest makes way.
-        std::vector<std::shared_ptr<Line>>* oldest = nullptr;
-        for (auto& [id, lines] : idle_)
-            if (!lines.empty() && (!oldest || lines.front()->idleSince < oldest->front()->idleSince))
-                oldest = &lines;
-        if (!oldest) return nullptr;
-        oldest->erase(oldest->begin());
-    }
+    if (!places_.mayOpenLine(open_) && !dropOldest()) return nullptr;
     return std::make_shared<Line>(on_, store, budget, open_);
 }
 
+bool LinePool::dropOldest() {
+    std::vector<std::shared_ptr<Line>>* oldest = nullptr;
+    for (auto& [id, lines] : idle_)
+        if (!lines.empty() && (!oldest || lines.front()->idleSince < oldest->front()->idleSince))
+            oldest = &lines;
+    if (!oldest) return false;
+    oldest->erase(oldest->begin());
+    return true;
+}
+
 void LinePool::put(std::shared_ptr<Line> line, std::int64_t now) {
     line->idleSince = now;
     auto& lines = idle_[line->store];
--- a/src/memory/stores.hpp
+++ b/src/memory/stores.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "inbox.hpp"
+#include "places/places.hpp"
 
 namespace granitereel {
 
@@ -46,8 +47,8 @@
 // The connections that wait for their next statement.
 class LinePool {
 public:
-    LinePool(asio::any_io_executor on, std::size_t most, std::int64_t idleLimit)
-        : on_(on), most_(most), idleLimit_(idleLimit) {}
+    LinePool(asio::any_io_executor on, const Places& places, std::int64_t idleLimit)
+        : on_(on), places_(places), idleLimit_(idleLimit) {}
 
     // The one used last, if the store still holds it; null if there is none.
     std::shared_ptr<Line> take(const std::string& store, std::int64_t now);
@@ -55,15 +56,19 @@
     std::shared_ptr<Line> make(const std::string& store, Budget& budget);
     void put(std::shared_ptr<Line> line, std::int64_t now);
     void hangUp(const std::string& store) { idle_.erase(store); }
+    // Where a client needs the place of a connection, the one idle longest goes; false where none is idle.
+    bool makeWay() { return !places_.lineMakesWay(open_) || dropOldest(); }
     // Lets go of those that the store has closed or soon will.
     void sweep(std::int64_t now);
     std::size_t open() const { return open_; }
 
 private:
     bool usable(Line& line, std::int64_t now) const;
+    bool dropOldest();
 
     asio::any_io_executor on_;
-    std::size_t most_, open_ = 0;
+    const Places& places_;
+    std::size_t open_ = 0;
     std::int64_t idleLimit_;
     std::map<std::string, std::vector<std::shared_ptr<Line>>> idle_;
 };
--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -13,19 +13,6 @@
 
 constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
 
-// Descriptors beside those for clients and stores: the program's own files and timers, the listener, two
-// calls to discovery, and some for clients that only get told that there is no room.
-constexpr std::size_t ownDescriptors = 24, spareDescriptors = 24;
-
-std::size_t forStores(std::size_t descriptors) {
-    // Two fifths: a launch needs one of each, and clients hold idle ones, too.
-    return (descriptors - ownDescriptors - spareDescriptors) * 2 / 5;
-}
-
-std::size_t forClients(std::size_t descriptors) {
-    return descriptors - ownDescriptors - spareDescriptors - forStores(descriptors);
-}
-
 // The last to stand in a lane's cut-off: how long a client may wait at most.
 Nanos longestCutOff(const Charter& charter) {
     Nanos longest = 0;
@@ -40,13 +27,14 @@
       told_(told),
       // Three eighths of the memory for what has come in; answers on their way out may take as much again.
       budget_(station.memory / 8 * 3),
-      pool_(io_.get_executor(), forStores(station.descriptors), station.opening.idleLimit),
+      places_(station.descriptors),
+      pool_(io_.get_executor(), places_, station.opening.idleLimit),
       desk_(io_.get_executor(), clock_, station.opening.charter, station.seed),
       stores_(io_.get_executor(), clock_, desk_, book_, pool_, budget_, station.opening.connectWithin,
               station.opening.storesReport),
       discovery_(io_.get_executor(), desk_, book_, station.opening.zones, station.discovery),
       clients_(io_.get_executor(), clock_, desk_, stores_, budget_, station.opening.charter.lanes,
-               forClients(station.descriptors), forClients(station.descriptors) + spareDescriptors),
+               places_),
       acceptor_(io_),
       endings_(io_, SIGTERM, SIGINT),
       hangUps_(io_, SIGHUP) {}
@@ -81,7 +69,7 @@
         // many seconds: once in ten.
         pause.expires_after(std::chrono::milliseconds(100));
         co_await pause.async_wait(quietly);
-        clients_.closeOverdue();
+        clients_.tidy();
         if (round % 10 > 0) continue;
         pool_.sweep(clock_.now());
         std::erase_if(book_, [this](const auto& each) { return !desk_.knows(each.first); });
--- a/src/run/program.hpp
+++ b/src/run/program.hpp
@@ -32,6 +32,7 @@
     Clock clock_;
     Budget budget_;
     AddressBook book_;
+    Places places_;
     LinePool pool_;
     Desk desk_;
     Stores stores_;
--- a/src/wire/clients.cpp
+++ b/src/wire/clients.cpp
@@ -48,8 +48,14 @@
 }  // namespace
 
 Clients::Clients(asio::any_io_executor on, const Clock& clock, Desk& desk, Stores& stores, Budget& budget,
-                 const std::vector<Lane>& lanes, std::size_t most, std::size_t spare)
-    : on_(on), clock_(clock), desk_(desk), stores_(stores), budget_(budget), spare_(spare), table_(most) {
+                 const std::vector<Lane>& lanes, Places& places)
+    : on_(on),
+      clock_(clock),
+      desk_(desk),
+      stores_(stores),
+      budget_(budget),
+      places_(places),
+      table_(places, clock) {
     for (std::size_t i = 0; i < lanes.size(); ++i) {
         lanes_[lanes[i].name] = static_cast<int>(i);
         sessions_.push_back(lanes[i].need == Need::session || lanes[i].need == Need::write);
@@ -59,9 +65,9 @@
 
 asio::awaitable<void> Clients::listen(tcp::acceptor& acceptor) {
     while (acceptor.is_open()) {
-        // Past the most that are kept, the one quiet longest makes way. The spare ones beyond those that may
-        // ask allow an answer to a few where none is quiet.
-        if (table_.count() >= spare_ && !table_.evict()) {
+        table_.relieve();
+        // An idle connection to a store makes way before a client has to wait.
+        if (!stores_.spareLine() || !table_.hasPlace()) {
             asio::steady_timer pause(on_, std::chrono::milliseconds(5));
             co_await pause.async_wait(quietly);
             continue;
@@ -259,7 +265,7 @@
             co_await write(client, std::move(farewell));
             client->told = true;
             // Where others wait for the descriptor, it is not kept for one that may take its time to close.
-            if (client->floods || table_.full()) break;
+            if (client->floods || places_.crowded()) break;
             boost::system::error_code ignored;
             client->socket.shutdown(tcp::socket::shutdown_send, ignored);
             // Time for the client to read it and to close.
--- a/src/wire/clients.hpp
+++ b/src/wire/clients.hpp
@@ -12,14 +12,17 @@
 class Clients {
 public:
     Clients(asio::any_io_executor on, const Clock& clock, Desk& desk, Stores& stores, Budget& budget,
-            const std::vector<Lane>& lanes, std::size_t most, std::size_t spare);
+            const std::vector<Lane>& lanes, Places& places);
 
     // Takes connections until the acceptor is closed.
     asio::awaitable<void> listen(tcp::acceptor& acceptor);
     // Closes the connections on which nothing is asked.
     void closeQuiet();
-    // Closes those that have kept the front waiting for too long.
-    void closeOverdue() { table_.closeOverdue(); }
+    // Closes those that have kept the front waiting for too long, and those whose places others need.
+    void tidy() {
+        table_.closeOverdue();
+        table_.relieve();
+    }
     std::size_t count() const { return table_.count(); }
 
 private:
@@ -41,7 +44,7 @@
     Budget& budget_;
     std::map<std::string, int, std::less<>> lanes_;
     std::vector<bool> sessions_, writes_;  // by lane: whether the key names a session, whether it writes
-    std::size_t spare_;
+    Places& places_;
     ClientTable table_;
 };
 
--- a/src/wire/stores.hpp
+++ b/src/wire/stores.hpp
@@ -31,6 +31,8 @@
     asio::awaitable<void> launch(std::string store, Nanos until, Outgoing statement,
                                  std::shared_ptr<Ticket> ticket, std::string& answer);
     asio::awaitable<void> probe(std::string store);
+    // Lets an idle connection go where a client needs its place; false where none is idle.
+    bool spareLine() { return pool_.makeWay(); }
 
 private:
     struct Heard;
--- a/tests/serve.cpp
+++ b/tests/serve.cpp
@@ -208,6 +208,34 @@
     assert(client.answer() == "served");
 }
 
+// A crowd that asks once and keeps its connections makes way long before the table is full, the first to rest
+// first; a client that comes again keeps its own.
+void crowdsThatStayMakeWay() {
+    Stage stage(false, 256);
+    End store, usual = stage.client();
+    int id = 0;
+    auto served = [&](End& client) {
+        client.ask(statement(std::to_string(++id), "look"));
+        if (id == 1) store = stage.replica.accept(), store.welcome();
+        store.asked();
+        store.give("served");
+        return client.answer() == "served";
+    };
+    usual.hello();
+    assert(served(usual) && served(usual));
+    std::vector<End> crowd;
+    for (int i = 0; i < 85; ++i) {
+        crowd.push_back(stage.client());
+        const bool well = served(crowd.back().hello()) && served(usual);
+        assert(well);
+    }
+    for (int i = 0; i < 20; ++i) {
+        const bool well = crowd[i].ended() && served(usual);
+        assert(well);
+    }
+    assert(served(crowd.back()));
+}
+
 // Where none is quiet, those past the most that are kept are told so at once.
 void crowds() {
     Stage stage(false, 64);
@@ -383,6 +411,7 @@
     followsTheList();
     probesTellPositions();
     quietOnesMakeWay();
+    crowdsThatStayMakeWay();
     crowds();
     slowReaders();
     servesWithoutDiscovery();
