--- a/src/memory/stores.hpp
+++ b/src/memory/stores.hpp
@@ -1,10 +1,14 @@
 // What is kept of stores: where each listens, and the connections that are open to it.
 #pragma once
 
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -16,15 +20,23 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-using AddressBook = std::map<std::string, tcp::endpoint, std::less<>>;
+namespace tls {
+class Sealed;
+}
+
+// What the list says of a store, as far as reaching it goes.
+struct Where {
+    tcp::endpoint at;
+    int group = 0;
+    std::int64_t started = 0;  // when, in nanoseconds of Unix time; 0: long ago
+    std::string listed;        // the name for its certificate, where the list has one
+};
+using AddressBook = std::map<std::string, Where, std::less<>>;
 
 // A connection to a store. It carries one statement at a time.
 struct Line : std::enable_shared_from_this<Line> {
-    Line(asio::any_io_executor on, std::string to, Budget& budget, std::size_t& count)
-        : socket(on), limit(on), inbox(budget), store(std::move(to)), open(count) {
-        ++open;
-    }
-    ~Line() { --open; }
+    Line(asio::any_io_executor on, std::string to, Budget& budget, std::size_t& count);
+    ~Line();
     Line(const Line&) = delete;
     Line& operator=(const Line&) = delete;
 
@@ -33,6 +45,10 @@
     void release();
     // Closed now, as its launch is called back.
     void abandon();
+    bool ended() const { return overdue || calledBack; }
+    // Sealed or not: at least one byte, or the end; all bytes, or an error where the last has not gone out.
+    asio::awaitable<std::pair<boost::system::error_code, std::size_t>> read(std::span<char> to);
+    asio::awaitable<boost::system::error_code> write(std::span<const asio::const_buffer> pieces);
 
     tcp::socket socket;
     asio::steady_timer limit;
@@ -41,7 +57,12 @@
     std::size_t& open;
     std::int64_t idleSince = 0;
     bool overdue = false, calledBack = false;
-    unsigned turn = 0;  // of the limit: one that has fired but not yet run says nothing of the next
+    unsigned limitNo = 0;  // of the limit: one that has fired but not yet run says nothing of the next
+    // TLS, where it is on: made under which trust; its turn for a handshake; what wakes it while it waits.
+    std::unique_ptr<tls::Sealed> seal;
+    unsigned epoch = 0;
+    std::uint64_t turn = 0;
+    std::function<void()> wakes;
 };
 
 // The connections that wait for their next statement.
@@ -61,6 +82,11 @@
     // Lets go of those that the store has closed or soon will.
     void sweep(std::int64_t now);
     std::size_t open() const { return open_; }
+    // Of the idle lines that `which` holds for: the stores, each with when one was used last, and how many.
+    using Which = std::function<bool(const Line&)>;
+    std::map<std::string, std::int64_t> lastUsed(const Which& which, std::size_t& count) const;
+    void closeOne(const std::string& store, const Which& which);  // the one idle longest
+    void closeAll(const Which& which);
 
 private:
     bool usable(Line& line, std::int64_t now) const;
--- a/src/places/places.cpp
+++ b/src/places/places.cpp
@@ -10,8 +10,8 @@
 constexpr std::size_t own = 24;
 
 // Who has rested this long has nothing on its way to the front: a client asks at once after its welcome or an
-// answer, or keeps the connection for later. A quarter of a second is well over the way here and back, half of
-// it enough for one that has yet to ask for anything.
+// answer, or keeps the connection for later. A quarter of a second is well over the way here and back, half
+// of it enough for one that has yet to ask for anything.
 constexpr Nanos atRest = millis(250), atRestUnasked = millis(125);
 
 // Under pressure a rest of two seconds is too long at first, a fifth of a second at full pressure, and beyond
@@ -26,9 +26,9 @@
     forLines_ = shared * 2 / 5;
     forAskers_ = shared - forLines_;
     both_ = shared + spare;
-    // A platform may keep clients from holding more than a third of the descriptors, and then turns away those
-    // that come in spite of a table that is not full. So pressure begins at a quarter, and is full at three
-    // tenths: what is left up to the third takes in a burst until those that rest have gone.
+    // A platform may keep clients from holding more than a third of the descriptors, and then turns away
+    // those that come in spite of a table that is not full. So pressure begins at a quarter, and is full at
+    // three tenths: what is left up to the third takes in a burst until those that rest have gone.
     knee_ = descriptors / 4;
     high_ = descriptors * 3 / 10;
 }
@@ -102,8 +102,8 @@
 
 // Those that asked once and rest go first. Others go once they are overdue, and beyond full pressure before
 // that, as who waits outside asks now. It guards against crowds that ask once and keep their
-// connection. It may hurt clients whose first rest is long: they connect again for each request until there is
-// room.
+// connection. It may hurt clients whose first rest is long: they connect again for each request until there
+// is room.
 std::optional<Places::Seat> Places::relieves(Nanos now) {
     const double high = pressure();
     if (high <= 0) return {};
--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-Program::Program(const Station& station, const Told& told)
+Program::Program(const Station& station, const Told& told, const fittings::Fittings& fittings)
     : station_(station),
       told_(told),
       // Three eighths of the memory for what has come in; answers on their way out may take as much again.
@@ -30,11 +30,15 @@
       places_(station.descriptors),
       pool_(io_.get_executor(), places_, station.opening.idleLimit),
       desk_(io_.get_executor(), clock_, station.opening.charter, station.seed),
+      locksmith_(fittings.has_tls_to_stores()
+                     ? std::make_unique<tls::Locksmith>(io_.get_executor(), clock_, book_,
+                                                        fittings.tls_to_stores(), station.cores,
+                                                        station.memory, station.opening.charter.coldTime)
+                     : nullptr),
       stores_(io_.get_executor(), clock_, desk_, book_, pool_, budget_, station.opening.connectWithin,
-              station.opening.storesReport),
+              station.opening.storesReport, locksmith_.get()),
       discovery_(io_.get_executor(), desk_, book_, station.opening.zones, station.discovery),
-      clients_(io_.get_executor(), clock_, desk_, stores_, budget_, station.opening.charter.lanes,
-               places_),
+      clients_(io_.get_executor(), clock_, desk_, stores_, budget_, station.opening.charter.lanes, places_),
       acceptor_(io_),
       endings_(io_, SIGTERM, SIGINT),
       hangUps_(io_, SIGHUP) {}
@@ -70,6 +74,9 @@
         pause.expires_after(std::chrono::milliseconds(100));
         co_await pause.async_wait(quietly);
         clients_.tidy();
+        if (locksmith_)
+            for (const std::string& store : locksmith_->renewals(pool_))
+                asio::co_spawn(io_, stores_.renew(store), asio::detached);
         if (round % 10 > 0) continue;
         pool_.sweep(clock_.now());
         std::erase_if(book_, [this](const auto& each) { return !desk_.knows(each.first); });
@@ -93,6 +100,20 @@
         } catch (const Misread& fault) {
             spdlog::warn("config not read again, nothing changes: {}", fault.what());
         }
+        refit();
+    }
+}
+
+// Certificates and their terms are taken whole, or the old ones hold on.
+void Program::refit() {
+    if (told_.fittings.empty()) return;
+    try {
+        const fittings::Fittings again = readFittings(told_.fittings);
+        if (again.has_tls_to_stores() != (locksmith_ != nullptr))
+            throw Misfit(told_.fittings + ": TLS is turned on or off by a restart alone");
+        if (locksmith_) locksmith_->take(again.tls_to_stores());
+    } catch (const std::runtime_error& fault) {
+        spdlog::warn("fittings not read again, nothing changes: {}", fault.what());
     }
 }
 
--- a/src/run/program.hpp
+++ b/src/run/program.hpp
@@ -12,7 +12,8 @@
 
 class Program {
 public:
-    Program(const Station& station, const Told& told);
+    // Throws tls::Untrusted where certificates can't be used.
+    Program(const Station& station, const Told& told, const fittings::Fittings& fittings);
     // Serves until it is told to end. Throws boost::system::system_error where the address can't be had.
     void run();
 
@@ -25,6 +26,7 @@
     asio::awaitable<void> upkeep();
     asio::awaitable<void> reloads();
     asio::awaitable<void> untilOver();
+    void refit();
 
     const Station& station_;
     const Told& told_;
@@ -35,6 +37,7 @@
     Places places_;
     LinePool pool_;
     Desk desk_;
+    std::unique_ptr<tls::Locksmith> locksmith_;  // null where TLS is off
     Stores stores_;
     Discovery discovery_;
     Clients clients_;
--- a/src/run/station.cpp
+++ b/src/run/station.cpp
@@ -62,12 +62,15 @@
             const simdjson::dom::object in(*limits);
             if (const auto mb = present(in, "memory_mb")) memory = double(*mb);
             if (const auto most = present(in, "sockets")) sockets = double(*most);
+            if (const auto cores = present(in, "cores")) station.cores = double(*cores);
         }
         rlimit own{};
         if (::getrlimit(RLIMIT_NOFILE, &own) == 0 && own.rlim_cur != RLIM_INFINITY)
             sockets = std::min(sockets, double(own.rlim_cur));
         if (!(memory >= 16 && memory < 1e6)) throw Misread("limits: memory_mb must be 16 or more");
         if (!(sockets >= 64 && sockets < 1e7)) throw Misread("limits: sockets must be 64 or more");
+        if (!(station.cores > 0 && station.cores < 1e4)) throw Misread("limits: cores must be above 0");
+        station.cores = std::min(station.cores, 1.0);  // one thread uses no more
         station.memory = static_cast<std::size_t>(memory) << 20;
         station.descriptors = static_cast<std::size_t>(sockets);
     } catch (const simdjson::simdjson_error& fault) {
--- a/src/run/station.hpp
+++ b/src/run/station.hpp
@@ -12,6 +12,7 @@
     boost::asio::ip::tcp::endpoint listen, discovery;
     std::uint64_t seed = 0;
     std::size_t memory = 0, descriptors = 0;
+    double cores = 1;
     Opening opening;
     std::string known;  // the list as last held, as JSON; empty if none was given
 };
@@ -19,6 +20,7 @@
 // What the command line or the environment says beside the file; empty: nothing.
 struct Told {
     std::string config, name, listen, discovery;
+    std::string fittings;  // the front's own settings file
 };
 
 // Throws Misread with one line on what is missing or wrong.
--- a/src/wire/discovery.cpp
+++ b/src/wire/discovery.cpp
@@ -58,7 +58,7 @@
         const auto group = present(entry, "group"), since = present(entry, "since_ms");
         try {
             const std::string_view address = wordIn(entry, "address");
-            if (!address.empty()) book_.insert_or_assign(name, endpointOf(address));
+            if (!address.empty()) book_[name].at = endpointOf(address);
             if (name.empty() || !book_.count(name)) throw std::invalid_argument("no name or no address");
             if (!group || !group->is_int64()) throw std::invalid_argument("no group");
             const std::int64_t number(*group);
@@ -70,6 +70,10 @@
             const auto place = std::find(zones_.begin(), zones_.end(), zone);
             const double started = since && since->is_number() ? double(*since) : 0;
             if (!(started >= 0 && started < 9e12)) throw std::invalid_argument("a start out of range");
+            Where& where = book_[name];
+            where.group = static_cast<int>(number);
+            where.started = nanosOf(started);
+            where.listed = wordIn(entry, "tls_name");
             desk_.listEntry(name, static_cast<int>(number),
                             place == zones_.end() ? -1 : static_cast<int>(place - zones_.begin()), standing,
                             nanosOf(started), wordIn(entry, "role") == "primary");
--- a/src/wire/postgres.cpp
+++ b/src/wire/postgres.cpp
@@ -114,6 +114,13 @@
     return head;
 }
 
+std::string sslRequestMessage() {
+    std::string message;
+    putNumber(message, 8);
+    putNumber(message, sslRequest);
+    return message;
+}
+
 std::string startupMessage() {
     using namespace std::string_view_literals;
     constexpr std::string_view names = "user\0client\0database\0core\0\0"sv;
--- a/src/wire/postgres.hpp
+++ b/src/wire/postgres.hpp
@@ -54,5 +54,7 @@
 // The head of a Query message whose text, with its closing zero byte, has this length.
 std::string queryHead(std::size_t textLength);
 std::string startupMessage();
+// Asks for TLS; the answer is one byte, S or N.
+std::string sslRequestMessage();
 
 }  // namespace granitereel::postgres
--- a/src/wire/stores.cpp
+++ b/src/wire/stores.cpp
@@ -59,7 +59,8 @@
     explicit Heard(bool isAnswer) : asked(isAnswer) {}
     bool asked = false;  // it is a statement's answer, not a welcome
     bool described = false, row = false, whole = false, ready = false, spoilt = false;
-    bool over = false;  // it has come to its end
+    bool over = false;      // it has come to its end
+    bool deferred = false;  // no turn for a handshake in time: that says nothing of the store
     std::string answer, value, code;
     Role role = Role::unknown;
     std::optional<Nanos> position;
@@ -147,8 +148,7 @@
         const auto room = line->inbox.room(wanted);
         if (room.empty()) co_return;  // no memory for it: as if the connection had broken
         if (total > 0) line->closeAt(clock_.at(std::min(until, clock_.now() + connectWithin_)));
-        const auto [fault, got] =
-            co_await line->socket.async_read_some(asio::buffer(room.data(), room.size()), quietly);
+        const auto [fault, got] = co_await line->read(room);
         if (fault) {
             heard.spoilt = line->overdue && clock_.now() < until;
             co_return;
@@ -158,18 +158,35 @@
     }
 }
 
-asio::awaitable<bool> Stores::connect(std::shared_ptr<Line> line, Nanos until, Heard& heard) {
+asio::awaitable<bool> Stores::connect(std::shared_ptr<Line> line, Nanos until, tls::For what, Heard& heard) {
+    if (locksmith_) {
+        // Waited for as long as connecting may take, which begins only then.
+        line->closeAt(clock_.at(std::min(until, clock_.now() + connectWithin_)));
+        const auto turned = co_await locksmith_->turn(line, what);
+        heard.deferred = turned == tls::Locksmith::Turned::deferred;
+        if (turned != tls::Locksmith::Turned::mayBegin) co_return false;
+    }
     const auto address = book_.find(line->store);
-    if (address == book_.end()) co_return false;
     until = std::min(until, clock_.now() + connectWithin_);
     line->closeAt(clock_.at(until));
-    const tcp::endpoint to = address->second;
-    const auto [fault] = co_await line->socket.async_connect(to, quietly);
-    if (fault) co_return false;
+    bool up = address != book_.end();
+    if (up) {
+        const tcp::endpoint to = address->second.at;
+        const auto [fault] = co_await line->socket.async_connect(to, quietly);
+        up = !fault;
+    }
     boost::system::error_code ignored;
-    line->socket.set_option(tcp::no_delay(true), ignored);
+    if (up) line->socket.set_option(tcp::no_delay(true), ignored);
+    if (locksmith_) {
+        if (up)
+            up = co_await locksmith_->seal(line);
+        else
+            locksmith_->passes(*line);
+    }
+    if (!up) co_return false;
     const std::string hello = postgres::startupMessage();
-    const auto [unwritten, n] = co_await asio::async_write(line->socket, asio::buffer(hello), quietly);
+    const std::array<asio::const_buffer, 1> pieces = {asio::buffer(hello)};
+    const auto unwritten = co_await line->write(pieces);
     if (unwritten) co_return false;
     co_await hear(line, until, heard);
     co_return heard.ready&& heard.code.empty() && !line->overdue;
@@ -188,7 +205,7 @@
             if (auto held = at.lock()) held->abandon();
         });
     if (fresh && !line->calledBack) {
-        const bool up = co_await connect(line, until, heard);
+        const bool up = co_await connect(line, until, ticket ? tls::For::statement : tls::For::probe, heard);
         line->release();
         if (!up && !line->calledBack) co_return nullptr;
     }
@@ -197,7 +214,8 @@
 
 void Stores::keep(std::shared_ptr<Line> line, const Heard& heard) {
     line->release();
-    if (!heard.ready || line->overdue || line->calledBack || !line->inbox.unread().empty()) return;
+    if (!heard.ready || line->ended() || !line->inbox.unread().empty()) return;
+    if (locksmith_ && !locksmith_->mayRest(*line)) return;
     pool_.put(std::move(line), clock_.now());
 }
 
@@ -208,9 +226,9 @@
     std::shared_ptr<Line> line = co_await reach(store, until, ticket.get(), heard);
     if (!line) {
         // Nothing was written, so it never ran.
-        result.how = heard.code == "53300"   ? Ending::full
-                     : clock_.now() >= until ? Ending::unsent
-                                             : Ending::unreachable;
+        result.how = heard.code == "53300"                     ? Ending::full
+                     : heard.deferred || clock_.now() >= until ? Ending::unsent
+                                                               : Ending::unreachable;
     } else if (line->calledBack) {
         result.how = Ending::cancelled;
     } else if (clock_.now() >= until || !desk_.mayStillGo(*ticket)) {
@@ -228,7 +246,7 @@
                                                           asio::buffer(d), asio::buffer(statement.after),
                                                           asio::buffer("", 1)};
         line->closeAt(clock_.at(until));
-        const auto [unwritten, n] = co_await asio::async_write(line->socket, pieces, quietly);
+        const auto unwritten = co_await line->write(pieces);
         if (!unwritten) co_await hear(line, until, heard);
         if (heard.spoilt)
             result.how = Ending::spoilt;
@@ -258,6 +276,16 @@
     desk_.report(*ticket, result);
 }
 
+asio::awaitable<void> Stores::renew(std::string store) {
+    const Nanos begun = clock_.now();
+    Heard heard;
+    if (auto line = pool_.make(store, budget_)) {
+        const bool up = co_await connect(line, begun + 2 * connectWithin_, tls::For::renewal, heard);
+        if (up) keep(line, heard);
+    }
+    locksmith_->renewed(store, clock_.now() - begun);
+}
+
 asio::awaitable<void> Stores::probe(std::string store) {
     const Nanos until = clock_.now() + connectWithin_;
     Heard heard;
@@ -265,14 +293,16 @@
     std::optional<Report> report;
     std::shared_ptr<Line> line = co_await reach(store, until, nullptr, heard);
     if (!line) {
-        if (heard.code == "53300") how = Ending::full;
+        // One that had no turn in time says nothing of the store, as one that finds it full.
+        if (heard.code == "53300" || heard.deferred) how = Ending::full;
     } else {
         heard = Heard(true);
         std::string query;
         using namespace std::string_view_literals;
         postgres::putMessage(query, 'Q', reports_ ? "SHOW load\0"sv : "SELECT 1\0"sv);
         line->closeAt(clock_.at(until));
-        const auto [unwritten, n] = co_await asio::async_write(line->socket, asio::buffer(query), quietly);
+        const std::array<asio::const_buffer, 1> pieces = {asio::buffer(query)};
+        const auto unwritten = co_await line->write(pieces);
         if (!unwritten) co_await hear(line, until, heard);
         if (heard.spoilt) {
             how = Ending::spoilt;
--- a/src/wire/stores.hpp
+++ b/src/wire/stores.hpp
@@ -5,6 +5,7 @@
 
 #include "facade/desk.hpp"
 #include "memory/stores.hpp"
+#include "tls/locksmith.hpp"
 
 namespace granitereel {
 
@@ -16,7 +17,7 @@
 class Stores {
 public:
     Stores(asio::any_io_executor on, const Clock& clock, Desk& desk, const AddressBook& book, LinePool& pool,
-           Budget& budget, Nanos connectWithin, bool reports)
+           Budget& budget, Nanos connectWithin, bool reports, tls::Locksmith* locksmith)
         : on_(on),
           clock_(clock),
           desk_(desk),
@@ -24,19 +25,22 @@
           pool_(pool),
           budget_(budget),
           connectWithin_(connectWithin),
-          reports_(reports) {}
+          reports_(reports),
+          locksmith_(locksmith) {}
 
     // Launches, waits for the ending and reports it. The answer, where delivered, is written to `answer` as
     // the store sent it.
     asio::awaitable<void> launch(std::string store, Nanos until, Outgoing statement,
                                  std::shared_ptr<Ticket> ticket, std::string& answer);
     asio::awaitable<void> probe(std::string store);
+    // Opens a connection that is at rest from then on, in place of one made under trust that holds no more.
+    asio::awaitable<void> renew(std::string store);
     // Lets an idle connection go where a client needs its place; false where none is idle.
     bool spareLine() { return pool_.makeWay(); }
 
 private:
     struct Heard;
-    asio::awaitable<bool> connect(std::shared_ptr<Line> line, Nanos until, Heard& heard);
+    asio::awaitable<bool> connect(std::shared_ptr<Line> line, Nanos until, tls::For what, Heard& heard);
     asio::awaitable<std::shared_ptr<Line>> reach(std::string store, Nanos until, Ticket* ticket,
                                                  Heard& heard);
     asio::awaitable<void> hear(std::shared_ptr<Line> line, Nanos until, Heard& heard);
@@ -50,6 +54,7 @@
     Budget& budget_;
     Nanos connectWithin_;
     bool reports_;
+    tls::Locksmith* locksmith_;  // null where TLS is off
 };
 
 // What a report says, told as 'name=value,...'; nothing where any of it can't be.
--- a/tests/places.cpp
+++ b/tests/places.cpp
@@ -62,8 +62,8 @@
 
 constexpr std::size_t machines[] = {256, 384, 1024};
 
-// Three hundred newcomers a second for 7 s that stay: fewer than a third of the descriptors at any time, and no
-// usual client goes for them once its habit is known.
+// Three hundred newcomers a second for 7 s that stay: fewer than a third of the descriptors at any time, and
+// no usual client goes for them once its habit is known.
 void crowdsThatAskOnceMakeWay() {
     for (const std::size_t descriptors : machines) {
         Hall hall(descriptors);
@@ -78,8 +78,8 @@
     }
 }
 
-// The other front restarts: its clients come within half a second, on top of the crowd and of those here. Those
-// whose habit is known keep their places; a newcomer's first rest may be taken for the crowd's.
+// The other front restarts: its clients come within half a second, on top of the crowd and of those here.
+// Those whose habit is known keep their places; a newcomer's first rest may be taken for the crowd's.
 void crowdsThroughARestart() {
     for (const std::size_t descriptors : machines) {
         Hall hall(descriptors);
