--- a/bench/tls.cpp
+++ b/bench/tls.cpp
@@ -205,11 +205,22 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(50));
             (i % 2 ? primary : replica).cutAll();
         }
+        const double fullBefore = primary.full() + replica.full(),
+                     resumedBefore = primary.resumed() + replica.resumed();
+        std::ofstream(folder / "trust.pem", std::ios::app) << Authority("next").certificate();
+        ::kill(stage.program, SIGHUP);
+        for (int i = 0; i < 40; ++i) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            (i % 2 ? primary : replica).cutAll();
+        }
         over = true;
         for (std::thread& each : threads) each.join();
+        const double fullAfter = primary.full() + replica.full() - fullBefore,
+                     resumedAfter = primary.resumed() + replica.resumed() - resumedBefore;
+        state.counters["resumed_after_rotation"] = resumedAfter / (fullAfter + resumedAfter);
         const double full = primary.full() + replica.full(), resumed = primary.resumed() + replica.resumed();
         state.counters["handshakes"] = full + resumed;
-        state.counters["resumed"] = resumed / (full + resumed);
+        state.counters["resumed"] = resumedBefore / (fullBefore + resumedBefore);
         state.counters["served"] = double(served) / double(asked);
         state.counters["statements"] = double(served);
     }
--- a/tests/tls.cpp
+++ b/tests/tls.cpp
@@ -227,6 +227,36 @@
     }
 };
 
+// Clients on threads ask while `change` is made; every transaction is audited.
+void flood(Site& site, const std::function<void()>& change) {
+    constexpr int clients = 6, each = 150;
+    std::vector<std::thread> threads;
+    std::atomic<int> done{0}, served{0};
+    std::vector<std::string> ids;
+    for (int c = 0; c < clients; ++c) {
+        for (int i = 0; i < each; ++i)
+            ids.push_back((i % 3 == 0 ? "pay" : "look") +
+                          ("-" + std::to_string(c) + "-" + std::to_string(i)));
+        threads.emplace_back([&, c] {
+            End client = site.client();
+            for (int i = 0; i < each; ++i) {
+                const std::string lane = i % 3 == 0 ? "pay" : "look";
+                const std::string id = lane + "-" + std::to_string(c) + "-" + std::to_string(i);
+                client.ask(statement(id, lane));
+                const std::string said = client.answer();
+                site.audit.answered(id, said);
+                served += said == "for " + id;
+                ++done;
+            }
+        });
+    }
+    while (done < clients * each / 3) std::this_thread::yield();
+    change();
+    for (std::thread& thread : threads) thread.join();
+    assert(served == clients * each);
+    site.audit.check(ids, [](const std::string& id) { return id.starts_with("pay"); });
+}
+
 // Sealed from the first byte on, then taken up again by tickets; both ways to begin, and TLS 1.2.
 void sealsAndResumes() {
     for (const std::string more :
@@ -401,6 +431,40 @@
     site.check();
 }
 
+// Names that are not the store's id: its address, and what the list calls it; the list may change it.
+void otherNames() {
+    Site site("expected_name: '{address}'");
+    site.replica.seal(site.authority.issue("127.0.0.1"));
+    site.begin();
+    End client = site.client();
+    assert(site.served(client, "look") && site.replica.launches() == 1 && site.primary.launches() == 0);
+    site.check();
+
+    Site other("expected_name: '{listed}.halls'");
+    std::string named = other.entry("r", other.replica, "replica");
+    named.insert(named.size() - 1, ",\"tls_name\":\"north\"");
+    other.stage.known = Stage::list(41, true, named);
+    other.replica.seal(other.authority.issue("north.halls"));
+    other.begin();
+    End second = other.client();
+    assert(other.served(second, "look") && other.replica.launches() == 1);
+    other.check();
+}
+
+// SIGHUP again and again, with other files each time, while the renewal of the one before runs under load.
+void rotationsThatOverlap() {
+    Site site("pace { renew_within_seconds: 2 }");
+    site.begin();
+    flood(site, [&] {
+        for (int i = 0; i < 4; ++i) {
+            site.folder.write("trust.pem", site.authority.certificate() + Authority("next").certificate());
+            site.reload();
+            site.stage.logged("TLS: new certificates and terms hold");
+        }
+    });
+    site.stage.logged("TLS: all connections are renewed");
+}
+
 // Trust that leaves nothing in common: no store gets a statement, clients are told at once, and all is well
 // again soon after the old trust is back.
 void trustWithoutOverlap() {
@@ -437,36 +501,6 @@
     site.check();
 }
 
-// Clients on threads ask while `change` is made; every transaction is audited.
-void flood(Site& site, const std::function<void()>& change) {
-    constexpr int clients = 6, each = 150;
-    std::vector<std::thread> threads;
-    std::atomic<int> done{0}, served{0};
-    std::vector<std::string> ids;
-    for (int c = 0; c < clients; ++c) {
-        for (int i = 0; i < each; ++i)
-            ids.push_back((i % 3 == 0 ? "pay" : "look") +
-                          ("-" + std::to_string(c) + "-" + std::to_string(i)));
-        threads.emplace_back([&, c] {
-            End client = site.client();
-            for (int i = 0; i < each; ++i) {
-                const std::string lane = i % 3 == 0 ? "pay" : "look";
-                const std::string id = lane + "-" + std::to_string(c) + "-" + std::to_string(i);
-                client.ask(statement(id, lane));
-                const std::string said = client.answer();
-                site.audit.answered(id, said);
-                served += said == "for " + id;
-                ++done;
-            }
-        });
-    }
-    while (done < clients * each / 3) std::this_thread::yield();
-    change();
-    for (std::thread& thread : threads) thread.join();
-    assert(served == clients * each);
-    site.audit.check(ids, [](const std::string& id) { return id.starts_with("pay"); });
-}
-
 // New certificates at the stores, new trust that holds the old and the new, the front's own certificate,
 // twice in a row: no transaction is lost, all connections are renewed, tickets of before are not used.
 void rotationUnderLoad() {
@@ -603,6 +637,8 @@
     ticketsRefusedAndTooMany();
     truncatedAnswers();
     recordsCutAnywhere();
+    otherNames();
+    rotationsThatOverlap();
     trustWithoutOverlap();
     timesHold();
     rotationUnderLoad();
