Refuse stores whose expected name lacks a part; put names together in one pass

Cause: where the list gave no tls_name, '{listed}.halls' became '.halls', which the library takes for any name below it, so any store's certificate of that domain would have done; and a list entry that looks like a placeholder was replaced without an end, which stops the front. Lines at fault: replace() and nameOf in src/tls/locksmith.cpp.

Change: one pass over the setting; a missing part or a name that begins with a dot gives no name, and such a store is refused. Nothing of it runs with TLS off.

--- a/src/tls/locksmith.cpp
+++ b/src/tls/locksmith.cpp
@@ -21,10 +21,6 @@
 // What runs out soon is told of at the start, with new files, and once a day.
 constexpr Nanos warnEvery = millis(24ll * 3600 * 1000);
 
-void replace(std::string& in, std::string_view what, std::string_view by) {
-    for (std::size_t at; (at = in.find(what)) != std::string::npos;) in.replace(at, what.size(), by);
-}
-
 }  // namespace
 
 Locksmith::Locksmith(asio::any_io_executor on, const Clock& clock, const AddressBook& book,
@@ -77,15 +73,28 @@
     pump();
 }
 
+// Put together in one pass, as what the list says may itself look like a placeholder. Empty, which no
+// certificate bears, where the list lacks a part: the rest alone, such as '.halls', would be borne by every
+// store there.
 std::string Locksmith::nameOf(const std::string& store) const {
     const auto found = book_.find(store);
-    std::string name = terms_.expected_name();
-    replace(name, "{store}", store);
-    if (found == book_.end()) return name;
-    replace(name, "{group}", std::to_string(found->second.group));
-    replace(name, "{listed}", found->second.listed);
-    replace(name, "{address}", found->second.at.address().to_string());
-    return name;
+    if (found == book_.end()) return {};
+    const Where& where = found->second;
+    const std::map<std::string_view, std::string> parts = {{"{store}", store},
+                                                           {"{group}", std::to_string(where.group)},
+                                                           {"{listed}", where.listed},
+                                                           {"{address}", where.at.address().to_string()}};
+    std::string name;
+    for (std::string_view rest = terms_.expected_name(); !rest.empty();) {
+        const std::size_t close = rest[0] == '{' ? rest.find('}') : std::string_view::npos;
+        const auto part =
+            close == std::string_view::npos ? parts.end() : parts.find(rest.substr(0, close + 1));
+        if (part != parts.end() && part->second.empty()) return {};
+        name += part == parts.end() ? std::string(1, rest[0]) : part->second;
+        rest.remove_prefix(part == parts.end() ? 1 : part->first.size());
+    }
+    // A name that begins with a dot stands for all below it (X509_check_host).
+    return name.starts_with('.') ? std::string() : name;
 }
 
 void Locksmith::complain(const std::string& store, const std::string& why, const std::string& certificate) {
--- a/tests/tls.cpp
+++ b/tests/tls.cpp
@@ -451,6 +451,26 @@
     other.check();
 }
 
+// Where the list names none, no certificate will do, least of all another's of the same domain; a store whose
+// name looks like a placeholder is taken by the letter.
+void namesThatAreMissing() {
+    for (const std::string name : {"", "{listed}"}) {
+        Site site("expected_name: '{listed}.halls'");
+        std::string named = site.entry("p", site.primary, "primary");
+        named.insert(named.size() - 1, ",\"tls_name\":\"south\"");
+        std::string odd = site.entry("r", site.replica, "replica");
+        odd.insert(odd.size() - 1, ",\"tls_name\":\"" + name + "\"");
+        site.stage.known = Stage::list(41, true, named + "," + odd);
+        site.primary.seal(site.authority.issue("south.halls"));
+        site.replica.seal(site.authority.issue("east.halls"));
+        site.begin();
+        End client = site.client();
+        assert(site.served(client, "look") && site.served(client, "look"));
+        assert(site.replica.launches() == 0);
+        site.check();
+    }
+}
+
 // SIGHUP again and again, with other files each time, while the renewal of the one before runs under load.
 void rotationsThatOverlap() {
     Site site("pace { renew_within_seconds: 2 }");
@@ -638,6 +658,7 @@
     truncatedAnswers();
     recordsCutAnywhere();
     otherNames();
+    namesThatAreMissing();
     rotationsThatOverlap();
     trustWithoutOverlap();
     timesHold();
