--- a/tests/bench.hpp
+++ b/tests/bench.hpp
@@ -158,6 +158,7 @@
     Place discovery, primary, replica;
     int port = 0, index = 41;
     pid_t program = 0;
+    void (*prepare)(const char*) = nullptr;  // see start()
     std::FILE* log = nullptr;
     std::string file;
     std::string known;                 // the list at the start, where it is another than whole()
@@ -212,7 +213,7 @@
         std::ofstream(file = name) << config(discovery, probes, sockets);
         std::vector<std::string> words{"serve", "--config", file};
         words.insert(words.end(), options.begin(), options.end());
-        program = start(std::move(words), log);
+        program = start(std::move(words), log, prepare);
         logged("serving");
     }
     ~Stage() {
@@ -220,7 +221,9 @@
         if (log) exitCode();
         ::unlink(file.c_str());
     }
-    static pid_t start(std::vector<std::string> words, std::FILE*& output) {
+    // `prepare` runs in the child between fork and exec, as the platform's own filter would be set there.
+    static pid_t start(std::vector<std::string> words, std::FILE*& output,
+                       void (*prepare)(const char*) = nullptr) {
         int ends[2];
         assert(::pipe2(ends, O_CLOEXEC) == 0);
         std::vector<char*> argv{const_cast<char*>(PROGRAM)};
@@ -231,7 +234,8 @@
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a failed test leaves no front behind
             ::dup2(ends[1], 1);
             ::dup2(ends[1], 2);
-            ::execv(PROGRAM, argv.data());
+            if (prepare) prepare(argv[0]);
+            ::execv(argv[0], argv.data());
             ::_exit(127);
         }
         ::close(ends[1]);
