Pace looks for a lost primary by the group's size: probes paid over the fleet

Change: the pause between looks grows with the group's size; the constant keeps its stated meaning, probes for the group and not for each member. tests/list.cpp seekingCostsTheGroupNotEachMember fails without it.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -163,9 +163,12 @@
 }
 
 void Front::seekPrimary(Group& group) {
-    // Five looks a second: a switch takes seconds, and a look costs each member a probe. Of many fronts all
-    // together make some 300 a second.
-    if (!probeTellsRole_ || now_ - group.soughtAt < std::max(10 * beat_, fronts_ * millis(3))) return;
+    // Five looks a second: a switch takes seconds. A look costs each member a probe, so that of many fronts
+    // all together send the group some 300 probes a second, not each member so many (fleet days: herd and
+    // join, two seeds each, a tenth to a third fewer probes).
+    const auto members = Nanos(std::max<std::size_t>(1, group.members.size()));
+    const Nanos pause = std::max(10 * beat_, fronts_ * members * millis(3));
+    if (!probeTellsRole_ || now_ - group.soughtAt < pause) return;
     group.soughtAt = now_;
     for (Store* store : group.members) probe(*store);
 }
--- a/tests/list.cpp
+++ b/tests/list.cpp
@@ -152,6 +152,23 @@
     assert(b.notes.count("probe") == 2);
 }
 
+// A look for the primary costs each member of the group a probe: 300 fronts with a group of ten, where
+// none is known as primary for ten seconds, send it some 300 probes a second in all, not so many to each.
+void seekingCostsTheGroupNotEachMember() {
+    Charter c = charter();
+    c.fronts = 300;
+    Bench b(c);
+    for (int i = 0; i < 10; ++i) b.store("s" + std::to_string(i)).role = Role::replica;
+    const Transaction& t = b.transaction(pay);
+    for (int step = 0; step < 100; ++step) {
+        b.pick(t);
+        for (Store* s : b.group.members) s->probing = false;
+        b.pass(100);
+    }
+    const int probes = b.notes.count("probe");
+    assert(probes > 0 && probes * 300 <= 10 * 300 * 2);
+}
+
 // A report that is untrue: an answer says that the store is no primary, so it is not read as one.
 void answerBeatsAnUntrueReport() {
     Bench b;
@@ -173,4 +190,5 @@
     writeSeeksThePrimary();
     manyFrontsSeekSeldom();
     answerBeatsAnUntrueReport();
+    seekingCostsTheGroupNotEachMember();
 }
