--- a/tests/bench.hpp
+++ b/tests/bench.hpp
@@ -117,6 +117,10 @@
     }
     void pass(std::int64_t ms) { front.clock(now += millis(ms)); }
     bool known(const std::string& id) const { return front.transactions_.count(id) > 0; }
+    std::pair<std::size_t, std::size_t> marks() const {
+        return {front.marks_.size(), front.olderMarks_.size()};
+    }
+    Nanos mustSee(const std::string& id) const { return front.transactions_.at(id)->mustSee; }
 
     Store* pick(const Transaction& t) { return front.pick(group, t); }
     Store* pickReplica(const Transaction& t) { return front.pickReplica(group, t); }
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -109,6 +109,27 @@
     assert(b.launchedTo("v", "s"));
 }
 
+// The marks of sessions are bounded: of 50,000 sessions with a write each, at most two generations of 20,000
+// are kept, and a session whose mark was let go asks for no less than it had.
+void marksOfSessionsAreBounded() {
+    Charter c = charter();
+    c.marksKept = true;
+    Bench b(c);
+    Store& p = b.primary("p");
+    p.window = 1e9;
+    for (int i = 0; i < 50'000; ++i) {
+        const std::string id = "w" + std::to_string(i);
+        Transaction& t = b.transaction(pay, id);
+        t.user = "u" + std::to_string(i);
+        b.launch(t, p);
+        b.front.ended(id, 0, "p", Ending::delivered, millis(1), Role::primary, b.now + i, true);
+    }
+    const auto [newer, older] = b.marks();
+    assert(newer <= 20'000 && older <= 20'000 && newer + older >= 20'000);
+    b.front.take("r", recent, "u0", millis(900), 0, {});
+    assert(!b.known("r") || b.mustSee("r") >= b.now);
+}
+
 // A front with few reads knows no position young enough: it asks, and waits before it reads the primary.
 void quietReadWaitsForItsProbe() {
     Bench b;
@@ -147,6 +168,7 @@
     probesWhenDue();
     longReadsGoToTheFirst();
     keepsTheMarksOfSessions();
+    marksOfSessionsAreBounded();
     quietReadWaitsForItsProbe();
     unknownReplicaIsTriedWhereStoresCheck();
 }
