Look up a session's mark without comparing iterators of the two generations

Need: take() compared an iterator of one table of session marks with the end of the other, which is undefined behaviour; with libstdc++ it happened to work.

Change: which generation held the mark is kept as a flag. marksOfSessionsAreBounded now also asks for the marks of a session in each generation kept and finds its own.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -665,9 +665,11 @@
     t.cutOff = now_ + patience;
     if (sinceWrite) t.mustSee = now_ - *sinceWrite;
     if (lanes_[lane].need == Need::session && charter_.marksKept) {
+        // Iterators of the two generations are not compared with each other: that is undefined.
         auto mark = marks_.find(user);
-        if (mark == marks_.end()) mark = olderMarks_.find(user);
-        t.mustSee = mark == marks_.end() || mark == olderMarks_.end() ? markFloor_ : mark->second;
+        const bool newer = mark != marks_.end();
+        if (!newer) mark = olderMarks_.find(user);
+        t.mustSee = newer || mark != olderMarks_.end() ? mark->second : markFloor_;
     }
     route(t);
 }
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -128,6 +128,13 @@
     assert(newer <= 20'000 && older <= 20'000 && newer + older >= 20'000);
     b.front.take("r", recent, "u0", millis(900), 0, {});
     assert(!b.known("r") || b.mustSee("r") >= b.now);
+    // Marks of both generations kept are each session's own.
+    b.store("s", Pool::freemium).position = b.now - millis(1000);
+    for (const int user : {25'000, 45'000}) {
+        const std::string id = "r" + std::to_string(user);
+        b.front.take(id, recent, "u" + std::to_string(user), millis(900), 0, {});
+        assert(b.mustSee(id) == b.now + user);
+    }
 }
 
 // A front with few reads knows no position young enough: it asks, and waits before it reads the primary.
