Fronts of a tier know each other: SWIM with last calls, as datagrams, off by default

Need: no front knew of another, so nothing can be owned, shared or ordered among them while parts of the system fail.

Change: src/tier/members decides, free of I/O, who is here, suspect, gone or leaving, and how much of the tier a front sees (whole, most, few, alone); src/tier/letter frames what is said (length, XXH32, version, protobuf, 256 bytes at most); src/tier/post is the UDP socket, SIGUSR1's line and the log. Beyond SWIM and Lifeguard: last calls before a verdict, as many as the loss seen asks for; another's verdict is an accusation until three have brought it; a front that nobody answers tells nobody what it thinks of others; processes are known by birth and age, so that held datagrams and elder processes of a name are told apart. standins/world plays it in virtual time. Set by `tier` in our own settings file; off in `run`.

--- a/src/fittings/fittings.cpp
+++ b/src/fittings/fittings.cpp
@@ -109,6 +109,17 @@
 
 }  // namespace
 
+namespace {
+
+void check(const fittings::Tier& tier, const Spot& at) {
+    at.within("round_ms", 50, 10'000);
+    at.within("answer_ms", 10, std::max(10u, tier.round_ms() / 4 * 3));
+    at.within("good_for_ms", std::min(60'000u, 2 * tier.round_ms()), 60'000);
+    at.within("unconfirmed", 1, 20);
+}
+
+}  // namespace
+
 fittings::Fittings readFittings(const std::string& file) {
     std::ifstream in(file, std::ios::binary);
     if (!in) throw Misfit(file + ": can't be read");
@@ -128,6 +139,7 @@
     if (read.has_tls_to_stores())
         check(*read.mutable_tls_to_stores(), at.inside("tls_to_stores", read.tls_to_stores()),
               std::filesystem::path(file).parent_path());
+    if (read.has_tier()) check(read.tier(), at.inside("tier", read.tier()));
     faults.throwIfAny();
     return read;
 }
--- /dev/null
+++ b/src/json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON's bodies, compiled once.
+#include <boost/json/src.hpp>
--- a/src/run/charter.cpp
+++ b/src/run/charter.cpp
@@ -64,6 +64,7 @@
     charter.launchLimit = static_cast<int>(number(caps, "try-limit", 1));
     charter.mayProbe = mark(caps, "probes");
     charter.mayCancel = mark(caps, "cancel");
+    opening.mayTell = mark(caps, "may-tell");
     charter.adviceHeard = mark(caps, "retry-after");
     charter.longestAdvice = nanosOf(number(caps, "max-retry-after-ms"));
 
--- a/src/run/charter.hpp
+++ b/src/run/charter.hpp
@@ -27,6 +27,7 @@
     std::vector<std::string> zones;
     Nanos connectWithin = 0, idleLimit = 0;
     bool storesReport = false;
+    bool mayTell = false;  // fronts may send each other datagrams
 };
 Opening readCharter(const simdjson::dom::object& settings);
 
--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -20,6 +20,45 @@
     return longest;
 }
 
+std::vector<asio::ip::udp::endpoint> peersOf(const Station& station) {
+    std::vector<asio::ip::udp::endpoint> peers;
+    for (const std::string& each : station.peers) {
+        const tcp::endpoint at = endpointOf(each);
+        peers.emplace_back(at.address(), at.port());
+    }
+    return peers;
+}
+
+// Null where the tier is off: by its own settings, or since the platform's allow no telling.
+std::unique_ptr<tier::Post> postOf(asio::any_io_executor on, const Clock& clock, const Station& station,
+                                   const fittings::Fittings& fittings) {
+    if (!fittings.has_tier() || !fittings.tier().on()) return nullptr;
+    const Charter& charter = station.opening.charter;
+    if (!station.opening.mayTell || station.peers.empty() || station.peerListen.empty()) {
+        spdlog::info("tier: off, the settings allow no telling");
+        return nullptr;
+    }
+    tier::Place place;
+    try {
+        place.peers = peersOf(station);
+        const tcp::endpoint listen = endpointOf(station.peerListen);
+        place.listen = {listen.address(), listen.port()};
+    } catch (const std::invalid_argument& fault) {
+        throw Misread(std::string("peers: ") + fault.what());
+    }
+    if (charter.front < 0 || static_cast<std::size_t>(charter.front) >= place.peers.size())
+        throw Misread("peers: no place for front " + std::to_string(charter.front));
+    const fittings::Tier& tier = fittings.tier();
+    place.name = tier.name();
+    place.me = charter.front;
+    place.seed = station.seed;
+    place.pace.round = millis(tier.round_ms());
+    place.pace.answer = millis(tier.answer_ms());
+    place.pace.goodFor = millis(tier.good_for_ms());
+    place.pace.unconfirmed = static_cast<int>(tier.unconfirmed());
+    return std::make_unique<tier::Post>(on, clock, std::move(place));
+}
+
 }  // namespace
 
 Program::Program(const Station& station, const Told& told, const fittings::Fittings& fittings)
@@ -35,13 +74,15 @@
                                                         fittings.tls_to_stores(), station.cores,
                                                         station.memory, station.opening.charter.coldTime)
                      : nullptr),
+      post_(postOf(io_.get_executor(), clock_, station, fittings)),
       stores_(io_.get_executor(), clock_, desk_, book_, pool_, budget_, station.opening.connectWithin,
               station.opening.storesReport, locksmith_.get()),
       discovery_(io_.get_executor(), desk_, book_, station.opening.zones, station.discovery),
       clients_(io_.get_executor(), clock_, desk_, stores_, budget_, station.opening.charter.lanes, places_),
       acceptor_(io_),
       endings_(io_, SIGTERM, SIGINT),
-      hangUps_(io_, SIGHUP) {}
+      hangUps_(io_, SIGHUP),
+      lookers_(io_, SIGUSR1) {}
 
 void Program::enter(Phase phase) {
     static constexpr const char* names[] = {"starting", "serving", "leaving", "finishing", "over"};
@@ -92,18 +133,30 @@
         Told again = told_;
         again.discovery.clear();
         try {
-            const tcp::endpoint at = readStation(again).discovery;
+            const Station read = readStation(again);
+            const tcp::endpoint at = read.discovery;
+            if (post_) post_->takePeers(peersOf(read));
             spdlog::info("{}: config read again, discovery at {}:{}", station_.name, at.address().to_string(),
                          at.port());
             discovery_.moveTo(at);
             asio::co_spawn(io_, discovery_.follow(), asio::detached);
-        } catch (const Misread& fault) {
+        } catch (const std::runtime_error& fault) {
+            spdlog::warn("config not read again, nothing changes: {}", fault.what());
+        } catch (const std::invalid_argument& fault) {
             spdlog::warn("config not read again, nothing changes: {}", fault.what());
         }
         refit();
     }
 }
 
+// SIGUSR1: what this front sees of its tier, as one line.
+asio::awaitable<void> Program::shows() {
+    for (;;) {
+        co_await lookers_.async_wait(quietly);
+        spdlog::info("tier {}", post_ ? post_->seen() : "{\"sight\":\"off\"}");
+    }
+}
+
 // Certificates and their terms are taken whole, or the old ones hold on.
 void Program::refit() {
     if (told_.fittings.empty()) return;
@@ -126,6 +179,7 @@
     const Nanos last = told + std::min(longestCutOff(station_.opening.charter), millis(3000)) + millis(400);
     const Nanos closing = std::max(told + millis(700), last - millis(700));
     enter(Phase::leaving);
+    if (post_) post_->leave();
     asio::steady_timer pause(io_);
     bool givenUp = false;
     while (desk_.inHand() > 0 || clients_.count() > 0 || clock_.now() < closing) {
@@ -167,6 +221,11 @@
     asio::co_spawn(io_, upkeep(), orEnd);
     asio::co_spawn(io_, clients_.listen(acceptor_), orEnd);
     asio::co_spawn(io_, reloads(), orEnd);
+    asio::co_spawn(io_, shows(), orEnd);
+    if (post_) {
+        asio::co_spawn(io_, post_->receive(), orEnd);
+        asio::co_spawn(io_, post_->watch(), orEnd);
+    }
     asio::co_spawn(io_, untilOver(), orEnd);
     enter(Phase::serving);
     io_.run();
--- a/src/run/program.hpp
+++ b/src/run/program.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "station.hpp"
+#include "tier/post.hpp"
 #include "wire/clients.hpp"
 #include "wire/discovery.hpp"
 
@@ -12,7 +13,8 @@
 
 class Program {
 public:
-    // Throws tls::Untrusted where certificates can't be used.
+    // Throws tls::Untrusted where certificates can't be used, std::runtime_error where the tier's address
+    // can't be had.
     Program(const Station& station, const Told& told, const fittings::Fittings& fittings);
     // Serves until it is told to end. Throws boost::system::system_error where the address can't be had.
     void run();
@@ -25,6 +27,7 @@
     asio::awaitable<void> errands();
     asio::awaitable<void> upkeep();
     asio::awaitable<void> reloads();
+    asio::awaitable<void> shows();
     asio::awaitable<void> untilOver();
     void refit();
 
@@ -38,11 +41,12 @@
     LinePool pool_;
     Desk desk_;
     std::unique_ptr<tls::Locksmith> locksmith_;  // null where TLS is off
+    std::unique_ptr<tier::Post> post_;           // null where the fronts don't know each other
     Stores stores_;
     Discovery discovery_;
     Clients clients_;
     tcp::acceptor acceptor_;
-    asio::signal_set endings_, hangUps_;
+    asio::signal_set endings_, hangUps_, lookers_;
     Phase phase_ = Phase::starting;
 };
 
--- a/src/run/station.cpp
+++ b/src/run/station.cpp
@@ -55,6 +55,10 @@
         // Where the simulator brings changes by themselves, a front on sockets still has to open the watch.
         station.opening.charter.mustAsk = true;
         if (const auto known = present(file, "known")) station.known = simdjson::minify(*known);
+        station.peerListen = chosen("", file, "peer_listen");
+        if (const auto peers = present(file, "peers"))
+            for (const simdjson::dom::element each : simdjson::dom::array(*peers))
+                station.peers.emplace_back(std::string_view(each));
 
         // Without limits in the file, a small machine's.
         double memory = 128, sockets = 1024;
--- a/src/run/station.hpp
+++ b/src/run/station.hpp
@@ -15,6 +15,9 @@
     double cores = 1;
     Opening opening;
     std::string known;  // the list as last held, as JSON; empty if none was given
+    // Where other fronts reach this one, and an address for each front in the order of their numbers; as given.
+    std::string peerListen;
+    std::vector<std::string> peers;
 };
 
 // What the command line or the environment says beside the file; empty: nothing.
--- /dev/null
+++ b/src/tier/post.hpp
@@ -0,0 +1,66 @@
+// The tier on the network: one UDP socket, who may speak on it, and the clockwork of `Members`. What is told of
+// the tier on SIGUSR1 and in the log is made here. docs/tier.md says what each line asks for.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "letter.hpp"
+#include "members.hpp"
+#include "memory/clock.hpp"
+
+namespace granitereel::tier {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+// Where this front stands in its tier. `peers` holds an address a front, its own included, in the order of
+// their numbers.
+struct Place {
+    std::string name;  // of the tier
+    int me = 0;
+    udp::endpoint listen;
+    std::vector<udp::endpoint> peers;
+    std::uint64_t seed = 1;
+    Pace pace;
+};
+
+class Post final : private Outlet {
+public:
+    // Binds the socket. Throws std::runtime_error that names the address where it can't be had.
+    Post(asio::any_io_executor on, const Clock& clock, Place place);
+    ~Post() override = default;
+
+    // Both run until the program ends.
+    asio::awaitable<void> receive();
+    asio::awaitable<void> watch();
+
+    void leave();
+    // Another list of peers; the own number stays. Throws std::invalid_argument where it has no place for it.
+    void takePeers(std::vector<udp::endpoint> peers);
+
+    const Members& members() const { return members_; }
+    // One JSON object, as docs/tier.md describes it.
+    std::string seen() const;
+
+private:
+    void send(int member, const Said& what) override;
+    void log(const std::string& line) override;
+    void sort(const udp::endpoint& from, std::string_view bytes);
+
+    const Clock& clock_;
+    Place place_;
+    udp::socket socket_;
+    asio::steady_timer alarm_;
+    std::map<udp::endpoint, int> numbers_;
+    std::uint64_t sent_ = 0, sentBytes_ = 0, unsent_ = 0, heard_ = 0, heardBytes_ = 0;
+    std::uint64_t short_ = 0, checksum_ = 0, stranger_ = 0, version_ = 0, form_ = 0, late_ = 0;
+    std::vector<bool> otherVersion_;  // of whom it was said
+    Members members_;
+};
+
+}  // namespace granitereel::tier
--- /dev/null
+++ b/standins/world.hpp
@@ -0,0 +1,96 @@
+// A tier in virtual time: the deciding part of every front in one thread, with a network that loses, delays,
+// cuts, holds and repeats, clocks that drift, processes that stall, die, leave and start again. A seed plays the
+// same world each time. Datagrams pass as bytes, through the codec.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "tier/letter.hpp"
+#include "tier/members.hpp"
+
+namespace granitereel::standins {
+
+class World {
+public:
+    World(int count, std::uint64_t seed, const tier::Pace& pace = {});
+
+    // The network. A datagram passes with 1 - loss, after a delay between these, unless the way is cut.
+    double loss = 0, repeats = 0;
+    Nanos leastDelay = millis(1), mostDelay = millis(15);
+    std::function<bool(int from, int to)> cut;  // empty: none is
+    // Datagrams for which this says yes are kept until letGo().
+    std::function<bool(int from, int to)> holds;
+    void letGo();
+
+    // Processes. Each is up from the start unless `count` were told to wait by `down`.
+    void kill(int front);
+    void start(int front);          // from nothing
+    void stall(int front, Nanos over);
+    void leave(int front);          // says so; its process goes on until kill()
+    void resize(int count);         // every front's list of peers, at once
+    void resizeAt(int front, int count);
+    // An elder process of the name goes on beside its successor: both are sent what comes for that name.
+    void startBeside(int front);
+
+    // Clocks run between 1 - drift and 1 + drift as fast as the world's, and start anywhere.
+    double drift = 0;
+
+    Nanos now() const { return now_; }
+    void run(Nanos until);
+    // Runs until it holds, looked at every 10 ms, `atMost` from now; returns whether it came to hold.
+    bool runUntil(Nanos atMost, const std::function<bool()>& holds);
+
+    bool up(int front) const;
+    const tier::Members& at(int front) const;
+    const tier::Members* elder(int front) const;
+    int count() const { return count_; }
+    // Whether all fronts that are up hold the same view.
+    bool agree() const;
+    tier::Sight sight(int front) const;
+
+    struct Change {
+        Nanos when;
+        int observer, subject;
+        bool alive;  // the subject's process was up and running then
+        std::string line;
+    };
+    // Each verdict `gone` that a front came to or was told.
+    std::vector<Change> verdicts;
+    int falseVerdicts() const;
+    std::int64_t delivered = 0, deliveredBytes = 0, sent = 0, flawed = 0;
+    // Any front's lines, as they come; for a look.
+    std::function<void(int front, const std::string&)> onLog;
+
+private:
+    struct Process;
+    struct Event {
+        Nanos when;
+        std::uint64_t order;
+        std::function<void()> what;
+        bool operator>(const Event& other) const {
+            return when != other.when ? when > other.when : order > other.order;
+        }
+    };
+    void after(Nanos delay, std::function<void()> what);
+    void plan(const std::shared_ptr<Process>& process);
+    void carry(int from, int to, std::string bytes);
+    void arrive(int from, int to, const std::string& bytes);
+    std::shared_ptr<Process> begin(int front);
+    double chance() { return double(chance_() - chance_.min()) / double(chance_.max() - chance_.min()); }
+
+    int count_;
+    const tier::Pace pace_;
+    std::minstd_rand chance_;
+    Nanos now_ = 0;
+    std::uint64_t order_ = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::vector<std::shared_ptr<Process>> processes_, elders_;
+    std::vector<std::function<void()>> held_;
+};
+
+}  // namespace granitereel::standins
