--- a/standins/ends.hpp
+++ b/standins/ends.hpp
@@ -28,6 +28,7 @@
     End& operator=(End&& other) noexcept {
         std::swap(fd_, other.fd_);
         std::swap(held_, other.held_);
+        std::swap(patience_, other.patience_);
         return *this;
     }
     ~End() { close(); }
@@ -76,7 +77,26 @@
         return cut(1 + postgres::number(held_.substr(1)));
     }
 
+    bool open() const { return fd_ >= 0; }
+    // For an other side that may be gone or stopped at any time: asks, and waits so long for anything to come.
+    // "ended" where it went without a whole answer.
+    std::string askOrEnd(const std::string& statement, int seconds) {
+        patience_ = seconds * 1000;
+        const std::string bytes = query(statement);
+        if (::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) != ssize_t(bytes.size())) return "ended";
+        return answer();
+    }
+
     // As a client.
+    // Whether the welcome came whole before the other side ended.
+    bool helloOrEnd(int seconds) {
+        patience_ = seconds * 1000;
+        const std::string hello = postgres::startupMessage();
+        if (::send(fd_, hello.data(), hello.size(), MSG_NOSIGNAL) != ssize_t(hello.size())) return false;
+        for (std::string got; got.empty() || got[0] != 'Z';)
+            if ((got = message()).empty()) return false;
+        return true;
+    }
     End& hello() {
         send(postgres::startupMessage());
         for (std::string got; got.empty() || got[0] != 'Z';) assert(!(got = message()).empty());
@@ -154,7 +174,7 @@
 private:
     bool more() {
         pollfd wait{fd_, POLLIN, 0};
-        const int ready = ::poll(&wait, 1, 10'000);
+        const int ready = ::poll(&wait, 1, patience_);
         assert(ready == 1);
         char bytes[65536];
         const auto n = ::recv(fd_, bytes, sizeof bytes, 0);
@@ -167,6 +187,7 @@
         return part;
     }
     int fd_;
+    int patience_ = 10'000;  // ms
     std::string held_;
 };
 
--- a/tests/bench.hpp
+++ b/tests/bench.hpp
@@ -16,6 +16,7 @@
 
 #include "front.hpp"
 #include "standins/ends.hpp"
+#include "standins/process.hpp"
 
 namespace granitereel {
 
@@ -228,23 +229,7 @@
     // `prepare` runs in the child between fork and exec, as the platform's own filter would be set there.
     static pid_t start(std::vector<std::string> words, std::FILE*& output,
                        void (*prepare)(const char*) = nullptr) {
-        int ends[2];
-        assert(::pipe2(ends, O_CLOEXEC) == 0);
-        std::vector<char*> argv{const_cast<char*>(PROGRAM)};
-        for (std::string& word : words) argv.push_back(word.data());
-        argv.push_back(nullptr);
-        const pid_t child = ::fork();
-        if (child == 0) {
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a failed test leaves no front behind
-            ::dup2(ends[1], 1);
-            ::dup2(ends[1], 2);
-            if (prepare) prepare(argv[0]);
-            ::execv(argv[0], argv.data());
-            ::_exit(127);
-        }
-        ::close(ends[1]);
-        output = ::fdopen(ends[0], "r");
-        return child;
+        return standins::startProgram(PROGRAM, std::move(words), output, prepare);
     }
     // Reads the log up to a line that holds `text`.
     void logged(const std::string& text) {
