--- a/src/tier/members.cpp
+++ b/src/tier/members.cpp
@@ -74,7 +74,7 @@
       chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483647)),
       now_(now) {
     chance_.discard(2);
-    lastProbe_ = chance_();
+    lastProbe_ = chance_() % 4096;  // short on the wire; an answer to an elder process's probe meets nothing here
     // Not all of a tier that starts together shall speak at the same moment.
     nextRound_ = now + static_cast<Nanos>(chance_() % 1000) * pace_.round / 4000;
     nextSpread_ = nextCalls_ = nextRound_;
@@ -445,7 +445,8 @@
     said.age = now_ - started_;
     said.members = count();
     said.nth = ++m.nthOut;
-    if (said.probe || said.answer) said.digest = digest();
+    // One of the two sides of an exchange is enough to notice that views differ.
+    if (said.probe && said.about < 0) said.digest = digest();
     int room = mostLoad - static_cast<int>(said.blockDigests.size() * 2);
     for (const Block& block : said.blocks) room -= loadOf(block);
     for (const Fact& fact : said.facts) room -= loadOf(fact);
@@ -560,9 +561,10 @@
     return chosen;
 }
 
-void Members::probe(int number, Nanos within, std::function<void(bool)> next) {
+void Members::probe(int number, Nanos within, std::function<void(bool)> next, bool twice) {
     if (++lastProbe_ == 0) ++lastProbe_;
-    pending_.insert_or_assign(lastProbe_, Pending{number, now_ + within, std::move(next)});
+    pending_.insert_or_assign(
+        lastProbe_, Pending{number, now_ + within, twice ? now_ + within / 2 : 0, std::move(next)});
     Said said;
     said.probe = lastProbe_;
     say(number, std::move(said));
@@ -590,12 +592,16 @@
         const int number = turn_.back();
         turn_.pop_back();
         if (!present(number)) continue;
-        return probe(number, patience(), [this, number](bool answered) {
-            if (answered)
-                doubt_ = std::max(0, doubt_ - 1);
-            else
-                askHelpers(number);
-        });
+        // Sent again at half the wait: two datagrams, where a lost one would call for helpers and their dozen.
+        return probe(
+            number, patience(),
+            [this, number](bool answered) {
+                if (answered)
+                    doubt_ = std::max(0, doubt_ - 1);
+                else
+                    askHelpers(number);
+            },
+            true);
     }
 }
 
@@ -620,7 +626,7 @@
         if (++lastProbe_ == 0) ++lastProbe_;
         const bool itself = each == number;
         pending_.insert_or_assign(
-            lastProbe_, Pending{each, now_ + rest, [this, round, number, sent = now_](bool answered) {
+            lastProbe_, Pending{each, now_ + rest, 0, [this, round, number, sent = now_](bool answered) {
                                     round->answered |= answered;
                                     // A helper that says "no answer" shows that this front hears.
                                     round->spoke |= answered || lastAnswer_ == now_;
@@ -714,7 +720,8 @@
     if (silenced_ || count() == 1) return now_ + millis(3'600'000);
     Nanos when = std::min(nextRound_, now_ + pace_.round);
     if (!rumours_.empty()) when = std::min(when, nextSpread_);
-    for (const auto& [number, pending] : pending_) when = std::min(when, pending.until);
+    for (const auto& [number, pending] : pending_)
+        when = std::min(when, pending.againAt ? pending.againAt : pending.until);
     for (const int number : suspects_) when = std::min(when, member(number).verdictAt);
     return std::max(when, now_);
 }
@@ -735,6 +742,13 @@
         }
         nextRound_ = nextSpread_ = now;
     }
+    for (auto& [number, pending] : pending_) {
+        if (pending.againAt == 0 || pending.againAt > now) continue;
+        pending.againAt = 0;
+        Said said;
+        said.probe = number;
+        say(pending.member, std::move(said));
+    }
     std::vector<std::function<void(bool)>> over;
     std::erase_if(pending_, [&](auto& each) {
         if (each.second.until > now) return false;
--- a/src/tier/members.hpp
+++ b/src/tier/members.hpp
@@ -161,6 +161,7 @@
     struct Pending {
         int member;
         Nanos until;
+        Nanos againAt;  // sent once more then; 0: not
         std::function<void(bool answered)> next;
     };
 
@@ -180,7 +181,7 @@
     void say(int to, Said said);
     void fill(Said& said, int to, int room);
     void probeRound();
-    void probe(int number, Nanos within, std::function<void(bool)> next);
+    void probe(int number, Nanos within, std::function<void(bool)> next, bool twice = false);
     void askHelpers(int number);
     void failed(int number, bool helpersSpoke);
     void callTheGone(int many);
