Leases over a tier without a disk: electors, owners, terms and the fence, in virtual time

Need: work that is harmful twice needs one owner, and an owner that wakes up late must do no harm.

Nothing uses it yet.

--- /dev/null
+++ b/src/owners/clerk.cpp
@@ -0,0 +1,33 @@
+#include "clerk.hpp"
+
+#include "letter.hpp"
+
+namespace granitereel::owners {
+
+Clerk::Clerk(tier::Members& members, const Electors& electors, const Terms& terms, std::uint64_t floor,
+             std::uint64_t seed, Nanos now, std::function<void(const std::string&)> log)
+    : Clerk(members, electors, terms, floor, seed, now, std::move(log),
+            {[this] { return members_.in(tier::State::here); },
+             [this] { return members_.sight(now_) >= tier::Sight::most; }}) {}
+
+Clerk::Clerk(tier::Members& members, const Electors& electors, const Terms& terms, std::uint64_t floor,
+             std::uint64_t seed, Nanos now, std::function<void(const std::string&)> log, Owners::View view)
+    : members_(members),
+      log_(std::move(log)),
+      now_(now),
+      owners_(members.me(), members.birth(), electors, terms, floor, seed, now, std::move(view), *this) {}
+
+int Clerk::kind() const {
+    return furtherKind;
+}
+
+void Clerk::send(int member, const Talk& talk) {
+    members_.tell(now_, member, {furtherKind, write(talk)});
+}
+
+void Clerk::received(Nanos now, int from, std::uint32_t birth, Nanos, const std::string& bytes) {
+    now_ = now;
+    if (const std::optional<Talk> talk = read(bytes)) owners_.heard(now, from, birth, *talk);
+}
+
+}  // namespace granitereel::owners
--- /dev/null
+++ b/src/owners/clerk.hpp
@@ -0,0 +1,43 @@
+// Leases among the fronts of a tier: carries the talk of `Owners` as datagrams of the tier, and knows by the view who
+// is there.
+#pragma once
+
+#include "owners.hpp"
+#include "tier/guest.hpp"
+
+namespace granitereel::owners {
+
+class Clerk final : public tier::Guest, private Owners::Outlet {
+public:
+    Clerk(tier::Members& members, const Electors& electors, const Terms& terms, std::uint64_t floor,
+          std::uint64_t seed, Nanos now, std::function<void(const std::string&)> log);
+    // With another view than the members' own.
+    Clerk(tier::Members& members, const Electors& electors, const Terms& terms, std::uint64_t floor,
+          std::uint64_t seed, Nanos now, std::function<void(const std::string&)> log, Owners::View view);
+
+    Owners& owners() { return owners_; }
+    const Owners& owners() const { return owners_; }
+    // Called when a key has come or gone.
+    std::function<void(Key, bool held)> onChange;
+
+    int kind() const override;
+    void received(Nanos now, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) override;
+    void tick(Nanos now) override { owners_.tick(now_ = now); }
+    Nanos next() const override { return owners_.next(); }
+    void leave(Nanos now) override { owners_.leave(now_ = now); }
+    void slept(Nanos now) override { owners_.slept(now_ = now); }
+
+private:
+    void send(int member, const Talk& talk) override;
+    void log(const std::string& line) override { log_(line); }
+    void changed(Key key, bool held) override {
+        if (onChange) onChange(key, held);
+    }
+
+    tier::Members& members_;
+    const std::function<void(const std::string&)> log_;
+    Nanos now_;
+    Owners owners_;
+};
+
+}  // namespace granitereel::owners
--- /dev/null
+++ b/src/owners/letter.cpp
@@ -0,0 +1,80 @@
+#include "letter.hpp"
+
+#include "owners/owners.pb.h"
+
+namespace granitereel::owners {
+
+namespace {
+
+std::uint32_t wireTime(Nanos time) {
+    return static_cast<std::uint32_t>(time <= 0 ? 0 : (time + millis(1) - 1) / millis(1));
+}
+// No lease, silence or hold is longer than an hour.
+constexpr std::uint32_t longest = 3'600'000;
+
+}  // namespace
+
+std::string write(const Talk& talk) {
+    wire::Talk to;
+    to.set_electors(talk.electors);
+    to.set_highest(talk.highest);
+    to.set_number(talk.number);
+    to.set_lease_ms(wireTime(talk.lease));
+    for (const Ask& ask : talk.asks) {
+        wire::Ask* each = to.add_asks();
+        each->set_key(ask.key);
+        each->set_term(ask.term);
+    }
+    to.set_renews(talk.renews);
+    to.set_held(talk.held);
+    for (const Release& release : talk.releases) {
+        wire::Release* each = to.add_releases();
+        each->set_key(release.key);
+        each->set_term(release.term);
+        each->set_hold_ms(wireTime(release.hold));
+    }
+    to.set_answers(talk.answers);
+    for (const Reply& reply : talk.replies) {
+        wire::Reply* each = to.add_replies();
+        each->set_key(reply.key);
+        each->set_granted(reply.granted);
+        each->set_term(reply.term);
+        each->set_owner(static_cast<std::uint32_t>(reply.owner + 1));
+        each->set_busy_ms(wireTime(reply.busy));
+    }
+    to.set_same(talk.same);
+    to.set_silent_ms(wireTime(talk.silent));
+    to.set_other_list(talk.otherList);
+    for (const Key key : talk.handed) to.add_handed(key);
+    return to.SerializeAsString();
+}
+
+std::optional<Talk> read(const std::string& bytes) {
+    wire::Talk from;
+    if (!from.ParseFromString(bytes) || from.lease_ms() > longest || from.silent_ms() > longest) return {};
+    Talk talk;
+    talk.electors = from.electors();
+    talk.highest = from.highest();
+    talk.number = from.number();
+    talk.lease = millis(from.lease_ms());
+    for (const wire::Ask& each : from.asks()) talk.asks.push_back({each.key(), each.term()});
+    talk.renews = from.renews();
+    talk.held = from.held();
+    for (const wire::Release& each : from.releases()) {
+        if (each.hold_ms() > longest) return {};
+        talk.releases.push_back({each.key(), each.term(), millis(each.hold_ms())});
+    }
+    talk.answers = from.answers();
+    for (const wire::Reply& each : from.replies()) {
+        if (each.busy_ms() > longest || each.owner() > 1 << 16) return {};
+        talk.replies.push_back({each.key(), each.granted(), each.term(), static_cast<int>(each.owner()) - 1,
+                                millis(each.busy_ms())});
+    }
+    talk.same = from.same();
+    talk.silent = millis(from.silent_ms());
+    talk.otherList = from.other_list();
+    talk.handed.assign(from.handed().begin(), from.handed().end());
+    return talk;
+}
+
+}  // namespace granitereel::owners
--- /dev/null
+++ b/src/owners/letter.hpp
@@ -0,0 +1,18 @@
+// Talk of leases as bytes, and back.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "talk.hpp"
+
+namespace granitereel::owners {
+
+constexpr int furtherKind = 1;
+
+// At most six asks or replies fit a datagram between fronts.
+std::string write(const Talk& talk);
+// None where it is no talk, or says what can't be.
+std::optional<Talk> read(const std::string& bytes);
+
+}  // namespace granitereel::owners
--- a/src/tier/letter.cpp
+++ b/src/tier/letter.cpp
@@ -37,7 +37,7 @@
 // Whether a Letter says what can be; then it is taken over.
 bool take(const wire::Letter& letter, Said& said) {
     if (letter.birth() == 0 || letter.members() == 0 || letter.members() > mostMembers ||
-        letter.about() > mostMembers || letter.age_ms() > static_cast<std::uint64_t>(INT64_MAX / millis(1)) ||
+        letter.about() > mostMembers || letter.further().kind() > mostMembers || letter.age_ms() > static_cast<std::uint64_t>(INT64_MAX / millis(1)) ||
         letter.facts_size() % 3 != 0 || letter.block_digests().size() % 2 != 0)
         return false;
     said.birth = letter.birth();
@@ -78,6 +78,7 @@
         }
         said.blocks.push_back(std::move(block));
     }
+    if (letter.has_further()) said.further = Further{static_cast<int>(letter.further().kind()), letter.further().body()};
     return true;
 }
 
@@ -120,6 +121,10 @@
         to_->set_states(states);
         for (const std::uint32_t each : block.incarnations) to_->add_incarnations(each);
     }
+    if (said.further) {
+        letter.mutable_further()->set_kind(static_cast<std::uint32_t>(said.further->kind));
+        letter.mutable_further()->set_body(said.further->bytes);
+    }
     return frame(letter.SerializeAsString(), tier, from, to);
 }
 
--- a/src/tier/members.cpp
+++ b/src/tier/members.cpp
@@ -435,6 +435,7 @@
     }
     if (said.digest && said.digest != digest()) compare(from);
     judgeSight();
+    if (said.further) out_.received(from, said.birth, m.born + said.age, *said.further);
     return true;
 }
 
@@ -453,10 +454,20 @@
     int room = mostLoad - static_cast<int>(said.blockDigests.size() * 2);
     for (const Block& block : said.blocks) room -= loadOf(block);
     for (const Fact& fact : said.facts) room -= loadOf(fact);
+    if (said.further) room -= static_cast<int>(said.further->bytes.size()) + 8;
     fill(said, to, room);
     out_.send(to, said);
 }
 
+bool Members::tell(Nanos now, int to, Further further) {
+    if (silenced_ || to < 0 || to >= count() || to == me_ || further.bytes.size() > mostFurther) return false;
+    now_ = now;
+    Said said;
+    said.further = std::move(further);
+    say(to, std::move(said));
+    return true;
+}
+
 // Facts ride along: first what the receiver should know of itself, then rumours, the least told first.
 void Members::fill(Said& said, int to, int room) {
     const Member& m = member(to);
--- a/src/tier/members.hpp
+++ b/src/tier/members.hpp
@@ -51,6 +51,13 @@
     bool operator==(const Twins&) const = default;
 };
 
+// What a part that builds on the tier has to say; `kind` names that part.
+struct Further {
+    int kind = 0;
+    std::string bytes;
+    bool operator==(const Further&) const = default;
+};
+
 // What one datagram says; everything beyond the first five is left out where it is empty or 0.
 struct Said {
     std::uint32_t birth = 0;        // drawn anew by each process; not 0
@@ -67,12 +74,14 @@
     std::vector<Fact> facts;
     std::vector<std::uint16_t> blockDigests;  // of all blocks in order, to find where two views differ
     std::vector<Block> blocks;                // where yours differ from mine
+    std::optional<Further> further;
     bool operator==(const Said&) const = default;
 };
 
 // The most that facts, digests and blocks of one datagram may take on the wire, in bytes, so that with all the
 // rest it stays within 256: frame and head take 60 at most.
 constexpr int mostLoad = 190;
+constexpr int mostFurther = mostLoad - 10;  // with its kind, and room for a fact of the receiver
 constexpr int blockSize = 32;
 int loadOf(const Fact& fact);
 int loadOf(const Block& block);
@@ -83,6 +92,9 @@
     virtual void send(int member, const Said& what) = 0;
     // One line for people: a change, with its reason.
     virtual void log(const std::string& line) = 0;
+    // Somebody has something further to say, and is believed. `sent`: when that was by this front's clock, or no
+    // more than the shortest delay on that way later.
+    virtual void received(int /*from*/, std::uint32_t /*birth*/, Nanos /*sent*/, const Further&) {}
 };
 
 // How the tier is watched.
@@ -134,6 +146,8 @@
     void tick(Nanos now);
     Nanos next() const;
 
+    // Sends something further, of mostFurther bytes at most; false where it is longer, or nobody may speak.
+    bool tell(Nanos now, int to, Further further);
     // This front ends: tells the others at once.
     void leave(Nanos now);
     // The list of peers has grown or shrunk at its end.
--- a/standins/world.cpp
+++ b/standins/world.cpp
@@ -19,6 +19,7 @@
     Nanos planned = -1;
     std::vector<std::pair<int, std::string>> waiting;  // came while it was stalled
     std::unique_ptr<Members> members;
+    Guests guests;
 
     Process(World& in, int front) : world(in), number(front) {}
     Nanos clock() const { return offset + static_cast<Nanos>(std::llround(double(world.now_) * rate)); }
@@ -30,6 +31,20 @@
     void send(int member, const Said& what) override {
         world.carry(number, member, tier::write(what, "world", number, member));
     }
+    void received(int from, std::uint32_t birth, Nanos sent, const tier::Further& further) override {
+        for (const auto& guest : guests)
+            if (guest->kind() == further.kind) guest->received(clock(), from, birth, sent, further.bytes);
+    }
+    Nanos next() const {
+        Nanos when = members->next();
+        for (const auto& guest : guests) when = std::min(when, guest->next());
+        return when;
+    }
+    void tick() {
+        if (clock() >= members->next()) members->tick(clock());
+        for (const auto& guest : guests)
+            if (clock() >= guest->next()) guest->tick(clock());
+    }
     void log(const std::string& line) override {
         if (world.onLog) world.onLog(number, line);
         const std::size_t gone = line.find(" is gone, ");
@@ -58,6 +73,7 @@
     process->offset = static_cast<Nanos>(chance_()) * 1000;
     const std::uint32_t birth = chance_();
     process->members = std::make_unique<Members>(front, count_, birth, chance_(), pace_, process->clock(), *process);
+    if (guests) process->guests = guests(front, *process->members, process->clock(), chance_());
     plan(process);
     return process;
 }
@@ -95,6 +111,7 @@
 
 void World::leave(int front) {
     const auto& process = processes_[static_cast<std::size_t>(front)];
+    for (const auto& guest : process->guests) guest->leave(process->clock());
     process->members->leave(process->clock());
     plan(process);
 }
@@ -120,13 +137,13 @@
 
 void World::plan(const std::shared_ptr<Process>& process) {
     if (!process->alive) return;
-    const Nanos when = std::max(now_, process->worldTime(process->members->next()));
+    const Nanos when = std::max(now_, process->worldTime(process->next()));
     if (process->planned >= 0 && process->planned <= when && process->planned >= now_) return;
     process->planned = when;
     after(when - now_, [this, process, when] {
         if (!process->alive || process->stalled() || process->planned != when) return;
         process->planned = -1;
-        if (process->clock() >= process->members->next()) process->members->tick(process->clock());
+        process->tick();
         plan(process);
     });
 }
@@ -194,6 +211,21 @@
     return *processes_[static_cast<std::size_t>(front)]->members;
 }
 
+tier::Guest& World::guest(int front, std::size_t n) {
+    return *processes_[static_cast<std::size_t>(front)]->guests.at(n);
+}
+
+tier::Guest* World::elderGuest(int front, std::size_t n) {
+    const auto& process = elders_[static_cast<std::size_t>(front)];
+    return process && !process->stalled() ? process->guests.at(n).get() : nullptr;
+}
+
+void World::stir(int front) {
+    const auto& process = processes_[static_cast<std::size_t>(front)];
+    process->planned = -1;
+    plan(process);
+}
+
 const Members* World::elder(int front) const {
     const auto& process = elders_[static_cast<std::size_t>(front)];
     return process ? process->members.get() : nullptr;
@@ -204,8 +236,8 @@
     return process->members->sight(process->clock());
 }
 
-Nanos World::clockOf(int front) const {
-    return processes_[static_cast<std::size_t>(front)]->clock();
+Nanos World::clockOf(int front, bool elder) const {
+    return (elder ? elders_ : processes_)[static_cast<std::size_t>(front)]->clock();
 }
 
 bool World::agree() const {
--- a/standins/world.hpp
+++ b/standins/world.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "tier/guest.hpp"
 #include "tier/letter.hpp"
 #include "tier/members.hpp"
 
@@ -37,6 +38,10 @@
     // An elder process of the name goes on beside its successor: both are sent what comes for that name.
     void startBeside(int front);
 
+    // What builds on the tier in each front, made anew with each process.
+    using Guests = std::vector<std::unique_ptr<tier::Guest>>;
+    std::function<Guests(int front, tier::Members& members, Nanos now, std::uint64_t seed)> guests;
+
     // Clocks run between 1 - drift and 1 + drift as fast as the world's, and start anywhere.
     double drift = 0;
 
@@ -47,13 +52,19 @@
 
     bool up(int front) const;
     const tier::Members& at(int front) const;
+    // The n-th guest of a front that is up.
+    tier::Guest& guest(int front, std::size_t n = 0);
+    // Of the elder process of its name; null where there is none, or it is stalled.
+    tier::Guest* elderGuest(int front, std::size_t n = 0);
+    // Has the front look at its guests' clockwork again, after they were told something.
+    void stir(int front);
     const tier::Members* elder(int front) const;
     int count() const { return count_; }
     // Whether all fronts that are up hold the same view.
     bool agree() const;
     tier::Sight sight(int front) const;
     // What a front's own clock shows now.
-    Nanos clockOf(int front) const;
+    Nanos clockOf(int front, bool elder = false) const;
 
     struct Change {
         Nanos when;
