Test that an owner counts its lease from its asking, by answers held on the way

Cause: of ten guarding lines of src/owners taken out, one survived: an owner that counts from the answer's arrival. The test delayed everything alike, which hides it.

Change: answers to the owner are held for two seconds, let go, and the owner is cut off.

--- a/tests/owners.cpp
+++ b/tests/owners.cpp
@@ -195,10 +195,10 @@
         fleet.greedy = true;
         fleet.startAll();
         assert(fleet.owned(millis(20'000)));
-        fleet.world.leastDelay = fleet.world.mostDelay = millis(1'100);
-        fleet.pass(millis(10'000));
         const int owner = fleet.owner("a");
-        fleet.world.leastDelay = fleet.world.mostDelay = millis(5);
+        fleet.world.holds = [owner](int, int to) { return to == owner; };
+        fleet.pass(millis(2'000));
+        fleet.world.letGo();
         fleet.world.cut = [owner](int from, int) { return from == owner; };
         fleet.pass(millis(15'000), millis(5));
         assert(fleet.owner("a") >= 0 && fleet.owner("a") != owner);
