--- /dev/null
+++ b/models/check.sh
@@ -0,0 +1,25 @@
+#!/bin/sh
+# Checks the model with Spin, then its broken variants: the first three have to hold, each of the others to fail.
+set -eu
+model=$(cd "$(dirname "$0")" && pwd)/leases.pml
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+cd "$folder"
+run() { # what is wanted, definitions
+    wanted=$1
+    shift
+    spin -a "$@" "$model" >spin.log
+    ${CC:-cc} -O2 -w -DSAFETY -DCOLLAPSE -o pan pan.c
+    ./pan -m200000 >pan.log
+    errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.log)
+    echo "$* $wanted: $errors errors, $(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' pan.log) states"
+    if grep -q "search depth too small" pan.log; then echo "not searched whole"; exit 1; fi
+    case $wanted in holds) [ "$errors" = 0 ] ;; fails) [ "$errors" != 0 ] ;; esac
+}
+run holds -DONE
+run holds -DORDER
+run holds -DSUM
+run fails -DNO_SILENCE
+run fails -DNO_MARGIN
+run fails -DTRUST_CLOCK
+run fails -DORDER -DNO_FENCE
