One front looks for a lost primary for all of its tier, and hints the others; on in `run`

Change: the duty of seeking a group's primary is one front's by rendezvous hashing over those here. A front that misses it asks that one, which looks at full pace and tells all who asked; a hint costs one probe of the store hinted at, whose own word counts. Not answered within a quarter of a second, or seeing less than most, it looks as before.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -168,16 +168,42 @@
 }
 
 void Front::seekPrimary(Group& group) {
+    if (!probeTellsRole_ || group.members.empty()) return;
+    if (now_ - group.seekersAt >= 10 * beat_) {
+        group.seekersAt = now_;
+        group.seekers = out_.seekers(group.members.front()->group);
+    }
     // Five looks a second: a switch takes seconds. A look costs each member a probe, so that of many fronts
     // all together send the group some 300 probes a second, not each member so many (fleet days: herd and
     // join, two seeds each, a tenth to a third fewer probes).
-    const auto members = Nanos(std::max<std::size_t>(1, group.members.size()));
-    const Nanos pause = std::max(10 * beat_, fronts_ * members * millis(3));
-    if (!probeTellsRole_ || now_ - group.soughtAt < pause) return;
+    const auto members = Nanos(group.members.size());
+    const int seekers = group.seekers.value_or(fronts_);
+    if (seekers == 0 || now_ - group.soughtAt < std::max(10 * beat_, seekers * members * millis(3))) return;
     group.soughtAt = now_;
     for (Store* store : group.members) probe(*store);
 }
 
+// For all fronts that miss it, so not paced by their number.
+void Front::look(int groupNo) {
+    const auto found = groups_.find(groupNo);
+    if (found == groups_.end() || !probeTellsRole_ || now_ - found->second.soughtAt < 10 * beat_) return;
+    found->second.soughtAt = now_;
+    for (Store* store : found->second.members) probe(*store);
+}
+
+// A hint where to look, never leave to write: what the store itself says counts.
+void Front::hinted(const std::string& id) {
+    Store* store = find(id);
+    if (!store || !probeTellsRole_ || groups_[store->group].primary == store) return;
+    probe(*store);
+}
+
+std::optional<std::string> Front::primaryOf(int groupNo) const {
+    const auto found = groups_.find(groupNo);
+    if (found == groups_.end() || !found->second.primary || !wellEnough(*found->second.primary)) return {};
+    return found->second.primary->id;
+}
+
 Store* Front::pickForWrite(Group& group, const Transaction& transaction) {
     if (!group.primary || !wellEnough(*group.primary)) seekPrimary(group);
     if (group.primary) {
--- a/src/facade/desk.hpp
+++ b/src/facade/desk.hpp
@@ -105,6 +105,12 @@
     void listFailed();
     // Among how many fronts this one counts itself.
     void present(int fronts) { front_.present(fronts); }
+    // How many fronts look for a group's primary, as Outlet::seekers says; empty: none is known.
+    std::function<std::optional<int>(int group)> seeker;
+    void look(int group) { front().look(group); }
+    void hinted(const std::string& store) { front().hinted(store); }
+    std::optional<std::string> primaryOf(int group) { return front().primaryOf(group); }
+    const std::set<int>& groups() const { return groups_; }
     bool knows(const std::string& store) const { return front_.knows(store); }
     void probed(const std::string& store, Ending how, const std::optional<Report>& report);
     void shookHands(const std::string& store, Nanos work) { front().shookHands(store, work); }
@@ -126,6 +132,9 @@
     void tell(std::optional<int>, const std::string&) override {}  // the decisions tell other fronts nothing
     void wake(Nanos when, std::int64_t handle) override;
     void log(const std::string& line) override;
+    std::optional<int> seekers(int group) override {
+        return seeker ? seeker(group) : std::optional<int>();
+    }
 
     Front& front();
     void add(Errand errand);
--- a/src/fittings/fittings.cpp
+++ b/src/fittings/fittings.cpp
@@ -4,6 +4,7 @@
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <google/protobuf/text_format.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -118,6 +119,21 @@
     at.within("unconfirmed", 1, 20);
 }
 
+void check(const fittings::Owners& owners, bool tier, const Spot& at) {
+    if (!tier) at.wrong("on", "there is no tier: give a block `tier`, too");
+    at.within("lease_ms", 500, 60'000);
+    at.within("margin_ms", 20, std::max(20u, owners.lease_ms() / 4));
+    at.within("spread_seconds", 1, 3'600);
+    const auto twice = [&](const char* field, auto list) {
+        std::sort(list.begin(), list.end());
+        if (std::adjacent_find(list.begin(), list.end()) != list.end()) at.wrong(field, "names one twice");
+    };
+    twice("electors", owners.electors());
+    twice("electors_before", owners.electors_before());
+    if (owners.electors_size() == 0 && owners.electors_before_size() > 0)
+        at.wrong("electors_before", "goes with `electors`, which is left out");
+}
+
 }  // namespace
 
 fittings::Fittings readFittings(const std::string& file) {
@@ -140,6 +156,7 @@
         check(*read.mutable_tls_to_stores(), at.inside("tls_to_stores", read.tls_to_stores()),
               std::filesystem::path(file).parent_path());
     if (read.has_tier()) check(read.tier(), at.inside("tier", read.tier()));
+    if (read.has_owners()) check(read.owners(), read.has_tier(), at.inside("owners", read.owners()));
     faults.throwIfAny();
     return read;
 }
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -81,6 +81,9 @@
     virtual void tell(std::optional<int> front, const std::string& bytes) = 0;  // none: all of them
     virtual void wake(Nanos when, std::int64_t handle) = 0;
     virtual void log(const std::string& line) = 0;
+    // The front misses a group's primary. How many fronts look for it at the same time; 0: others do, and will tell
+    // this one; none: nobody knows, so as many as there are.
+    virtual std::optional<int> seekers(int /*group*/) { return {}; }
 };
 
 // A sum that halves with each half-life; it is brought up to date when it is read or added to.
@@ -171,7 +174,8 @@
     bool redeal = true;
     std::vector<Transaction*> held;
     bool waiting = false;
-    Nanos soughtAt = 0;
+    Nanos soughtAt = 0, seekersAt = 0;
+    std::optional<int> seekers;
 };
 
 struct Transaction {
@@ -213,6 +217,12 @@
     void woke(std::int64_t) { round(); }
     // Among how many fronts this one counts itself from now on; at the start, as many as the charter says.
     void present(int fronts);
+    // Others miss a group's primary, and it is this front's part to look for it.
+    void look(int group);
+    // Another front holds this store for its group's primary.
+    void hinted(const std::string& store);
+    // A group's primary, where it is known and answers.
+    std::optional<std::string> primaryOf(int group) const;
 
     // For a caller that needs a while to connect: whether a launch may still be written to its store.
     bool mayStillGo(const std::string& id, const std::string& store) const;
--- a/src/owners/clerk.cpp
+++ b/src/owners/clerk.cpp
@@ -30,4 +30,22 @@
     if (const std::optional<Talk> talk = read(bytes)) owners_.heard(now, from, birth, *talk);
 }
 
+SeekClerk::SeekClerk(tier::Members& members, Nanos now, Seeker::Finder& finder)
+    : members_(members),
+      now_(now),
+      seeker_(
+          members.me(),
+          {[this] { return members_.in(tier::State::here); },
+           [this] { return members_.sight(now_) >= tier::Sight::most; }},
+          [this](int member, const Seek& seek) { members_.tell(now_, member, {seekKind, write(seek)}); }, finder) {}
+
+int SeekClerk::kind() const {
+    return seekKind;
+}
+
+void SeekClerk::received(Nanos now, int from, std::uint32_t, Nanos, const std::string& bytes) {
+    now_ = now;
+    if (const std::optional<Seek> seek = readSeek(bytes)) seeker_.heard(now, from, *seek);
+}
+
 }  // namespace granitereel::owners
--- a/src/owners/clerk.hpp
+++ b/src/owners/clerk.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "owners.hpp"
+#include "seeker.hpp"
 #include "tier/guest.hpp"
 
 namespace granitereel::owners {
@@ -40,4 +41,25 @@
     Owners owners_;
 };
 
+// The seeking of primaries over a tier.
+class SeekClerk final : public tier::Guest {
+public:
+    SeekClerk(tier::Members& members, Nanos now, Seeker::Finder& finder);
+    Seeker& seeker() { return seeker_; }
+    const Seeker& seeker() const { return seeker_; }
+    std::optional<int> seekers(Nanos now, int group) { return seeker_.seekers(now_ = now, group); }
+
+    int kind() const override;
+    void received(Nanos now, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) override;
+    void tick(Nanos now) override { seeker_.tick(now_ = now); }
+    Nanos next() const override { return seeker_.next(); }
+    void leave(Nanos) override {}
+    void slept(Nanos) override {}
+
+private:
+    tier::Members& members_;
+    Nanos now_;
+    Seeker seeker_;
+};
+
 }  // namespace granitereel::owners
--- a/src/owners/letter.cpp
+++ b/src/owners/letter.cpp
@@ -1,5 +1,7 @@
 #include "letter.hpp"
 
+#include <algorithm>
+
 #include "owners/owners.pb.h"
 
 namespace granitereel::owners {
@@ -49,6 +51,37 @@
     return to.SerializeAsString();
 }
 
+std::string write(const Seek& seek) {
+    wire::Seek to;
+    for (const int group : seek.wants) to.add_wants(static_cast<std::uint32_t>(group));
+    for (const int group : seek.looking) to.add_looking(static_cast<std::uint32_t>(group));
+    for (const Seek::Found& each : seek.found) {
+        wire::Found* found = to.add_found();
+        found->set_group(static_cast<std::uint32_t>(each.group));
+        found->set_store(each.store);
+    }
+    return to.SerializeAsString();
+}
+
+std::optional<Seek> readSeek(const std::string& bytes) {
+    wire::Seek from;
+    if (!from.ParseFromString(bytes)) return {};
+    // Groups are numbered up to this in lists.
+    constexpr std::uint32_t most = 1'000'000'000;
+    const auto sound = [](const auto& groups) {
+        return std::all_of(groups.begin(), groups.end(), [](std::uint32_t group) { return group <= most; });
+    };
+    if (!sound(from.wants()) || !sound(from.looking())) return {};
+    Seek seek;
+    seek.wants.assign(from.wants().begin(), from.wants().end());
+    seek.looking.assign(from.looking().begin(), from.looking().end());
+    for (const wire::Found& each : from.found()) {
+        if (each.group() > most) return {};
+        seek.found.push_back({static_cast<int>(each.group()), each.store()});
+    }
+    return seek;
+}
+
 std::optional<Talk> read(const std::string& bytes) {
     wire::Talk from;
     if (!from.ParseFromString(bytes) || from.lease_ms() > longest || from.silent_ms() > longest) return {};
--- a/src/owners/letter.hpp
+++ b/src/owners/letter.hpp
@@ -4,15 +4,19 @@
 #include <optional>
 #include <string>
 
+#include "seeker.hpp"
 #include "talk.hpp"
 
 namespace granitereel::owners {
 
-constexpr int furtherKind = 1;
+constexpr int furtherKind = 1, seekKind = 2;
 
 // At most six asks or replies fit a datagram between fronts.
 std::string write(const Talk& talk);
 // None where it is no talk, or says what can't be.
 std::optional<Talk> read(const std::string& bytes);
 
+std::string write(const Seek& seek);
+std::optional<Seek> readSeek(const std::string& bytes);
+
 }  // namespace granitereel::owners
--- a/src/owners/owners.cpp
+++ b/src/owners/owners.cpp
@@ -103,7 +103,7 @@
                 leases_.drop(now, key);
         }
     }
-    if (now < termsUntil_ && now >= nextTerms_) askForTerms();
+    if (now < termsUntil_ && now >= nextTerms_ && (elector_ || !needed_.empty())) askForTerms();
     leases_.tick(now);
     if (!leaving_)
         leases_.spread(now, [this](Key key) { return view_.most() ? duty(key) : me_; }, givenOutFor);
@@ -131,7 +131,7 @@
 
 Nanos Owners::next() const {
     if (leaving_) return now_ + millis(1000);
-    if (now_ < termsUntil_ && needed_.empty()) return std::max(nextTerms_, now_ + millis(1));
+    if (now_ < termsUntil_ && elector_ && needed_.empty()) return std::max(nextTerms_, now_ + millis(1));
     return needed_.empty() ? now_ + millis(1000) : std::min(leases_.next(), std::max(nextLook_, now_ + millis(1)));
 }
 
--- /dev/null
+++ b/src/run/fleet.cpp
@@ -0,0 +1,159 @@
+#include "fleet.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/json.hpp>
+
+#include "program.hpp"
+#include "wire/discovery.hpp"
+
+namespace granitereel {
+
+namespace {
+
+namespace json = boost::json;
+
+// The decisions as the seeking of primaries knows them.
+class Finder final : public owners::Seeker::Finder {
+public:
+    explicit Finder(Desk& desk) : desk_(desk) {}
+    void look(int group) override { desk_.look(group); }
+    void hint(const std::string& store) override { desk_.hinted(store); }
+    std::optional<std::string> primary(int group) const override { return desk_.primaryOf(group); }
+
+private:
+    Desk& desk_;
+};
+
+// A guest with the decisions beside it, so that both live equally long.
+class SeekGuest final : public tier::Guest {
+public:
+    SeekGuest(tier::Members& members, Nanos now, Desk& desk) : finder_(desk), clerk_(members, now, finder_) {}
+    owners::SeekClerk& clerk() { return clerk_; }
+    int kind() const override { return clerk_.kind(); }
+    void received(Nanos now, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) override {
+        clerk_.received(now, from, birth, sent, bytes);
+    }
+    void tick(Nanos now) override { clerk_.tick(now); }
+    Nanos next() const override { return clerk_.next(); }
+    void leave(Nanos now) override { clerk_.leave(now); }
+    void slept(Nanos now) override { clerk_.slept(now); }
+
+private:
+    Finder finder_;
+    owners::SeekClerk clerk_;
+};
+
+owners::Electors electorsOf(const fittings::Owners& owners, int fronts) {
+    if (owners.electors_size() == 0) return owners::Electors::first(fronts);
+    owners::Electors electors;
+    const auto take = [fronts](const auto& from, std::vector<int>& to) {
+        for (const std::uint32_t each : from) {
+            if (each >= static_cast<std::uint32_t>(fronts))
+                throw Misread("electors: there is no front " + std::to_string(each) + " among " +
+                              std::to_string(fronts));
+            to.push_back(static_cast<int>(each));
+        }
+        std::sort(to.begin(), to.end());
+    };
+    take(owners.electors(), electors.now);
+    take(owners.electors_before(), electors.before);
+    return electors;
+}
+
+void hostOwners(tier::Post& post, const Clock& clock, const Station& station, const fittings::Owners& owners,
+                Desk& desk) {
+    const Nanos now = clock.now();
+    owners::Terms terms;
+    terms.lease = millis(owners.lease_ms());
+    terms.margin = millis(owners.margin_ms());
+    terms.spread = millis(owners.spread_seconds() * 1000);
+    // The seconds of the wall clock: no term is below, see Leases.
+    const auto floor = static_cast<std::uint64_t>(now / 1'000'000'000);
+    auto clerk = std::make_unique<owners::Clerk>(
+        post.members(), electorsOf(owners, post.members().count()), terms, floor, station.seed, now,
+        [](const std::string& line) { spdlog::info("owners: {}", line); });
+    owners::Clerk& leases = *clerk;
+    post.host(std::move(clerk));
+    owners::SeekClerk* seeks = nullptr;
+    if (owners.seek_primaries()) {
+        auto guest = std::make_unique<SeekGuest>(post.members(), now, desk);
+        seeks = &guest->clerk();
+        post.host(std::move(guest));
+        desk.seeker = [seeks, &clock](int group) { return seeks->seekers(clock.now(), group); };
+    }
+    post.shows = [&leases, seeks, &clock, &desk](json::object& line) {
+        const Nanos at = clock.now();
+        const owners::Owners& shown = leases.owners();
+        json::array held;
+        for (const owners::Key key : shown.leases().held(at)) {
+            const auto hold = *shown.holds(at, key);
+            held.push_back(json::object{{"key", shown.leases().nameOf(key)},
+                                        {"term", hold.term},
+                                        {"owner", line["me"]},
+                                        {"left_ms", (hold.end - at) / millis(1)},
+                                        {"mine", true}});
+        }
+        line["leases"] = held;
+        json::object duties;
+        if (seeks)
+            for (const int group : desk.groups())
+                duties["seek/" + std::to_string(group)] = seeks->seeker().duty(group);
+        line["duties"] = duties;
+        line["elector"] = shown.elector() != nullptr;
+    };
+}
+
+}  // namespace
+
+std::vector<asio::ip::udp::endpoint> peersOf(const Station& station) {
+    std::vector<asio::ip::udp::endpoint> peers;
+    try {
+        for (const std::string& each : station.peers) {
+            const tcp::endpoint at = endpointOf(each);
+            peers.emplace_back(at.address(), at.port());
+        }
+    } catch (const std::invalid_argument& fault) {
+        throw Misread(std::string("peers: ") + fault.what());
+    }
+    return peers;
+}
+
+std::unique_ptr<tier::Post> fleetOf(asio::any_io_executor on, const Clock& clock, const Station& station,
+                                    const fittings::Fittings& fittings, Desk& desk) {
+    if (!fittings.has_tier() || !fittings.tier().on()) return nullptr;
+    const Charter& charter = station.opening.charter;
+    if (!station.opening.mayTell || station.peers.empty() || station.peerListen.empty()) {
+        spdlog::info("tier: off, the settings allow no telling");
+        return nullptr;
+    }
+    tier::Place place;
+    place.peers = peersOf(station);
+    try {
+        const tcp::endpoint listen = endpointOf(station.peerListen);
+        place.listen = {listen.address(), listen.port()};
+    } catch (const std::invalid_argument& fault) {
+        throw Misread(std::string("peer_listen: ") + fault.what());
+    }
+    if (charter.front < 0 || static_cast<std::size_t>(charter.front) >= place.peers.size())
+        throw Misread("peers: no place for front " + std::to_string(charter.front));
+    const fittings::Tier& tier = fittings.tier();
+    place.name = tier.name();
+    place.me = charter.front;
+    place.seed = station.seed;
+    place.pace.round = millis(tier.round_ms());
+    place.pace.answer = millis(tier.answer_ms());
+    place.pace.goodFor = millis(tier.good_for_ms());
+    place.pace.unconfirmed = static_cast<int>(tier.unconfirmed());
+    place.settled = std::max(1, charter.fronts);
+    // As the program ends: the longest cut-off, of 3 s at most, half a second more, and as much again for what may be
+    // late on its way.
+    place.longestEnd = std::min(longestCutOff(charter), millis(3000)) + millis(1000);
+    auto post = std::make_unique<tier::Post>(on, clock, std::move(place),
+                                             [&desk](int fronts) { desk.present(fronts); });
+    if (fittings.has_owners() && fittings.owners().on())
+        hostOwners(*post, clock, station, fittings.owners(), desk);
+    return post;
+}
+
+}  // namespace granitereel
--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -1,5 +1,7 @@
 #include "program.hpp"
 
+#include "fleet.hpp"
+
 #include <spdlog/spdlog.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -13,6 +15,8 @@
 
 constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
 
+}  // namespace
+
 // The last to stand in a lane's cut-off: how long a client may wait at most.
 Nanos longestCutOff(const Charter& charter) {
     Nanos longest = 0;
@@ -20,51 +24,6 @@
     return longest;
 }
 
-std::vector<asio::ip::udp::endpoint> peersOf(const Station& station) {
-    std::vector<asio::ip::udp::endpoint> peers;
-    for (const std::string& each : station.peers) {
-        const tcp::endpoint at = endpointOf(each);
-        peers.emplace_back(at.address(), at.port());
-    }
-    return peers;
-}
-
-// Null where the tier is off: by its own settings, or since the platform's allow no telling.
-std::unique_ptr<tier::Post> postOf(asio::any_io_executor on, const Clock& clock, const Station& station,
-                                   const fittings::Fittings& fittings, Desk& desk) {
-    if (!fittings.has_tier() || !fittings.tier().on()) return nullptr;
-    const Charter& charter = station.opening.charter;
-    if (!station.opening.mayTell || station.peers.empty() || station.peerListen.empty()) {
-        spdlog::info("tier: off, the settings allow no telling");
-        return nullptr;
-    }
-    tier::Place place;
-    try {
-        place.peers = peersOf(station);
-        const tcp::endpoint listen = endpointOf(station.peerListen);
-        place.listen = {listen.address(), listen.port()};
-    } catch (const std::invalid_argument& fault) {
-        throw Misread(std::string("peers: ") + fault.what());
-    }
-    if (charter.front < 0 || static_cast<std::size_t>(charter.front) >= place.peers.size())
-        throw Misread("peers: no place for front " + std::to_string(charter.front));
-    const fittings::Tier& tier = fittings.tier();
-    place.name = tier.name();
-    place.me = charter.front;
-    place.seed = station.seed;
-    place.pace.round = millis(tier.round_ms());
-    place.pace.answer = millis(tier.answer_ms());
-    place.pace.goodFor = millis(tier.good_for_ms());
-    place.pace.unconfirmed = static_cast<int>(tier.unconfirmed());
-    place.settled = std::max(1, charter.fronts);
-    // As `untilOver` ends: the longest cut-off, of 3 s at most, half a second more, and as much again for what may
-    // be late on its way.
-    place.longestEnd = std::min(longestCutOff(charter), millis(3000)) + millis(1000);
-    return std::make_unique<tier::Post>(on, clock, std::move(place), [&desk](int fronts) { desk.present(fronts); });
-}
-
-}  // namespace
-
 Program::Program(const Station& station, const Told& told, const fittings::Fittings& fittings)
     : station_(station),
       told_(told),
@@ -78,7 +37,7 @@
                                                         fittings.tls_to_stores(), station.cores,
                                                         station.memory, station.opening.charter.coldTime)
                      : nullptr),
-      post_(postOf(io_.get_executor(), clock_, station, fittings, desk_)),
+      post_(fleetOf(io_.get_executor(), clock_, station, fittings, desk_)),
       stores_(io_.get_executor(), clock_, desk_, book_, pool_, budget_, station.opening.connectWithin,
               station.opening.storesReport, locksmith_.get()),
       discovery_(io_.get_executor(), desk_, book_, station.opening.zones, station.discovery),
--- a/src/run/program.hpp
+++ b/src/run/program.hpp
@@ -11,6 +11,9 @@
 
 namespace granitereel {
 
+// How long a client may wait at most: the longest cut-off of any lane.
+Nanos longestCutOff(const Charter& charter);
+
 class Program {
 public:
     // Throws tls::Untrusted where certificates can't be used, std::runtime_error where the tier's address
--- a/src/tier/post.cpp
+++ b/src/tier/post.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
+#include <ctime>
 #include <stdexcept>
 
 namespace granitereel::tier {
@@ -59,6 +60,33 @@
     spdlog::info("tier: {}", line);
 }
 
+void Post::received(int from, std::uint32_t birth, Nanos sent, const Further& further) {
+    for (const auto& guest : guests_)
+        if (guest->kind() == further.kind) guest->received(clock_.now(), from, birth, sent, further.bytes);
+}
+
+Nanos Post::next() const {
+    Nanos when = members_.next();
+    for (const auto& guest : guests_) when = std::min(when, guest->next());
+    return when;
+}
+
+// The steady clock stands still while the machine sleeps, and the one since boot goes on (clock_gettime(2)). Leases
+// are counted on the former: what was held over a sleep can't be trusted.
+void Post::noticeSleep() {
+    timespec boot{}, steady{};
+    if (guests_.empty() || ::clock_gettime(CLOCK_BOOTTIME, &boot) != 0 ||
+        ::clock_gettime(CLOCK_MONOTONIC, &steady) != 0)
+        return;
+    const Nanos slept = (boot.tv_sec - steady.tv_sec) * Nanos(1'000'000'000) + (boot.tv_nsec - steady.tv_nsec);
+    // The two are read one after the other, some microseconds apart or as long as this thread was put aside.
+    if (sleptFor_ != 0 && slept > sleptFor_ + millis(100)) {
+        spdlog::warn("tier: the machine slept for {} ms", (slept - sleptFor_) / millis(1));
+        for (const auto& guest : guests_) guest->slept(clock_.now());
+    }
+    sleptFor_ = sleptFor_ == 0 ? slept : std::max(sleptFor_, slept);
+}
+
 void Post::send(int member, const Said& what) {
     const std::string bytes = write(what, place_.name, place_.me, member);
     boost::system::error_code fault;
@@ -134,14 +162,18 @@
 
 asio::awaitable<void> Post::watch() {
     for (;;) {
-        alarm_.expires_at(clock_.at(members_.next()));
+        alarm_.expires_at(clock_.at(next()));
         co_await alarm_.async_wait(quietly);
+        noticeSleep();
         if (clock_.now() >= members_.next()) members_.tick(clock_.now());
+        for (const auto& guest : guests_)
+            if (clock_.now() >= guest->next()) guest->tick(clock_.now());
         count();
     }
 }
 
 void Post::leave() {
+    for (const auto& guest : guests_) guest->leave(clock_.now());
     members_.leave(clock_.now());
     alarm_.cancel();
 }
@@ -186,6 +218,7 @@
     line["doubt"] = members_.doubt();
     line["loss"] = members_.lossSeen(clock_.now());
     line["silenced"] = members_.silenced();
+    if (shows) shows(line);
     return json::serialize(line);
 }
 
--- a/src/tier/post.hpp
+++ b/src/tier/post.hpp
@@ -5,10 +5,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "guest.hpp"
 #include "letter.hpp"
 #include "members.hpp"
 #include "parts.hpp"
@@ -47,13 +50,22 @@
     // Another list of peers; the own number stays. Throws std::invalid_argument where it has no place for it.
     void takePeers(std::vector<udp::endpoint> peers);
 
+    Members& members() { return members_; }
     const Members& members() const { return members_; }
+    // What builds on the tier; lives as long as this does. What it shows is added to `seen`.
+    void host(std::unique_ptr<Guest> guest) { guests_.push_back(std::move(guest)); }
+    std::function<void(boost::json::object&)> shows;
+    // A guest has something to do sooner than it said.
+    void stir() { alarm_.cancel(); }
     // One JSON object, as docs/tier.md describes it.
     std::string seen() const;
 
 private:
     void send(int member, const Said& what) override;
     void log(const std::string& line) override;
+    void received(int from, std::uint32_t birth, Nanos sent, const Further& further) override;
+    Nanos next() const;
+    void noticeSleep();
     void sort(const udp::endpoint& from, std::string_view bytes);
     void count();
 
@@ -69,6 +81,8 @@
     int counted_;
     std::string waits_;
     Parts parts_;
+    std::vector<std::unique_ptr<Guest>> guests_;
+    Nanos sleptFor_ = 0;  // by the machine's clocks, since its start
     Members members_;
 };
 
