Lose nothing asked in a front's last moment: answers end connections from `finishing` on

A client that has its last answer asks again at once on the same connection (Clients::answerAll, Program::untilOver). The crash: frames that wait on the loop use the table of places, which went before them.

Change: from `finishing` on an answer ends its connection unless more has been asked on it; what comes after the giving up is told at once; the loop lets go of its frames first.

--- a/src/run/program.cpp
+++ b/src/run/program.cpp
@@ -47,6 +47,10 @@
       hangUps_(io_, SIGHUP),
       lookers_(io_, SIGUSR1) {}
 
+Program::~Program() {
+    io_.letGo();
+}
+
 void Program::enter(Phase phase) {
     static constexpr const char* names[] = {"starting", "serving", "leaving", "finishing", "over"};
     phase_ = phase;
@@ -144,7 +148,6 @@
     enter(Phase::leaving);
     if (post_) post_->leave();
     asio::steady_timer pause(io_);
-    bool givenUp = false;
     while (desk_.inHand() > 0 || clients_.count() > 0 || clock_.now() < closing) {
         const Nanos now = clock_.now();
         if (now >= closing && phase_ == Phase::leaving) {
@@ -152,9 +155,10 @@
             acceptor_.close();
         }
         if (phase_ == Phase::finishing) clients_.closeQuiet();
-        if (now >= last && !std::exchange(givenUp, true)) desk_.giveUpAll();
+        // What is still asked meanwhile is told at once, too: a launch would not come back in time.
+        if (now >= last) desk_.giveUpAll();
         // Answers need 100 ms at the most to be written; who has not taken them by then will not.
-        if (now >= last + millis(100)) break;
+        if (now >= last + millis(100) && (desk_.inHand() == 0 || now >= last + millis(200))) break;
         pause.expires_after(std::chrono::milliseconds(10));
         co_await pause.async_wait(quietly);
     }
--- a/src/run/program.hpp
+++ b/src/run/program.hpp
@@ -19,6 +19,7 @@
     // Throws tls::Untrusted where certificates can't be used, std::runtime_error where the tier's address
     // can't be had.
     Program(const Station& station, const Told& told, const fittings::Fittings& fittings);
+    ~Program();
     // Serves until it is told to end. Throws boost::system::system_error where the address can't be had.
     void run();
 
@@ -34,9 +35,15 @@
     asio::awaitable<void> untilOver();
     void refit();
 
+    // What still waits in it when the program ends uses the parts: it goes before them.
+    struct Loop : asio::io_context {
+        using asio::io_context::io_context;
+        void letGo() { shutdown(); }
+    };
+
     const Station& station_;
     const Told& told_;
-    asio::io_context io_{1};
+    Loop io_{1};
     Clock clock_;
     Budget budget_;
     AddressBook book_;
--- a/src/wire/clients.cpp
+++ b/src/wire/clients.cpp
@@ -90,6 +90,7 @@
 }
 
 void Clients::closeQuiet() {
+    closing_ = true;
     // A client that has just had its answer or its welcome may be asking already; the way here and back is a
     // few milliseconds.
     table_.closeQuiet(std::chrono::milliseconds(50));
@@ -279,6 +280,9 @@
         client->busy = false;
         table_.touch(*client);
         if (!written) break;
+        // Its end goes out with the answer: a client that saw the answer alone would ask again at once, and so on
+        // until the front is gone with one of its statements in hand. What it has asked already is still answered.
+        if (closing_ && client->quiet()) break;
     }
     client->close();
 }
--- a/src/wire/clients.hpp
+++ b/src/wire/clients.hpp
@@ -16,7 +16,7 @@
 
     // Takes connections until the acceptor is closed.
     asio::awaitable<void> listen(tcp::acceptor& acceptor);
-    // Closes the connections on which nothing is asked.
+    // Closes the connections on which nothing is asked; from now on the others, too, each with its next answer.
     void closeQuiet();
     // Closes those that have kept the front waiting for too long, and those whose places others need.
     void tidy() {
@@ -46,6 +46,7 @@
     std::vector<bool> sessions_, writes_;  // by lane: whether the key names a session, whether it writes
     Places& places_;
     ClientTable table_;
+    bool closing_ = false;
 };
 
 }  // namespace granitereel
--- a/tests/serve.cpp
+++ b/tests/serve.cpp
@@ -372,6 +372,33 @@
     assert(stage.exitCode() == 0);
 }
 
+// On the way out an answer ends its connection, so that no client goes on asking until the front is gone; what was
+// asked behind another is still answered, also after all was given up; half a statement is not waited for, and what
+// then still waits on the loop goes before what it uses.
+void endsWithClientsThatAskOn() {
+    Stage stage;
+    End chain = stage.client(), two = stage.client(), half = stage.client();
+    for (End* each : {&chain, &two, &half}) each->hello();
+    half.ask(statement("h", "look"));
+    End store = stage.replica.accept();
+    store.welcome().asked();
+    store.give("h");
+    assert(half.answer() == "h");
+    chain.ask(statement("a", "look", 60'000));
+    store.asked();
+    for (const char* id : {"b", "c"}) two.ask(statement(id, "look", 60'000));
+    End second = stage.replica.accept();
+    second.welcome().asked();
+    ::kill(stage.program, SIGTERM);
+    stage.logged("leaving");
+    half.send("Q");
+    stage.logged("finishing");
+    store.give("a");
+    assert(chain.answer() == "a" && chain.askOrEnd(statement("d", "look", 60'000), 10) == "ended");
+    for (int i = 0; i < 2; ++i) assert(two.answer().find("53300") == 0);
+    assert(two.ended() && stage.exitCode() == 0);
+}
+
 // The command line says in one line what is wrong.
 void commandLine() {
     auto run = [](std::vector<std::string> words) {
@@ -420,5 +447,6 @@
     reloads();
     endsInOrder();
     endsWithWorkOut();
+    endsWithClientsThatAskOn();
     commandLine();
 }
