Lend a cold store's idle credit by one owner: cessions, slices, a sum that always holds

A new process keeps what its forerunner may have ceded. decide.cpp: coldStores, cede, lend, scarce. Off by default (`warm_stores`).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -344,6 +344,13 @@
     return quickest;
 }
 
+double Front::meanWork() {
+    double mean = 0;
+    for (std::size_t lane = 0; lane < lanes_.size(); ++lane)
+        mean += workOf(static_cast<int>(lane)) / double(lanes_.size());
+    return mean;
+}
+
 void Front::hear(Store& store, bool byWork) {
     if (byWork) {
         Nanos since = store.heard;
@@ -459,17 +466,55 @@
 bool Front::coldRoom(Store& store, double work) {
     if (coldShare(store) >= 1) return true;
     // A long transaction is a large part of a cold store's budget by itself.
-    double mean = 0;
-    for (std::size_t lane = 0; lane < lanes_.size(); ++lane) mean += workOf(lane) / double(lanes_.size());
+    const double mean = meanWork();
     if (work > 2 * mean) return false;
     if (store.coldCreditAt < store.started) {
         store.coldCreditAt = now_;
         store.coldCredit = -mean * double(chance_()) / double(std::minstd_rand::max());
+        store.ceded = store.lent = 0;
     }
-    const double earned = coldRate(store) * double(std::min(now_ - store.coldCreditAt, millis(6000)));
-    store.coldCredit = std::min(work, store.coldCredit + earned);
+    earn(store);
+    store.coldCredit = std::min(work, store.coldCredit);
+    if (store.coldCredit > 0 || (now_ < store.lentUntil && store.lent >= work)) return true;
+    store.lackedAt = now_;
+    return false;
+}
+
+void Front::earn(Store& store) {
+    const double rate = std::max(0.0, coldRate(store) - store.ceded);
+    store.coldCredit += rate * double(std::min(now_ - store.coldCreditAt, millis(6000)));
     store.coldCreditAt = now_;
-    return store.coldCredit > 0;
+}
+
+// One whose probes and handshakes have cost more than a launch has nothing to spare.
+std::vector<ColdStore> Front::coldStores() {
+    std::vector<ColdStore> cold;
+    for (const auto& [id, store] : stores_) {
+        if (store->standing != Standing::up || coldShare(*store) >= 1) continue;
+        const bool owes = store->coldCreditAt >= store->started && store->coldCredit < -meanWork();
+        // What is borne is remembered by halves of healthMemory: within that time it falls by a half at most.
+        const double least = coldShare(*store) * coldFactor_ * std::max(bearing_ / 2, 1.0 / fronts_);
+        cold.push_back({id, store->started, owes ? 0 : least});
+    }
+    return cold;
+}
+
+// What was earned before at the old rate is kept: nothing is taken back later for a time in which it was ceded.
+void Front::cede(const std::string& id, double part) {
+    Store* store = find(id);
+    if (!store || coldShare(*store) >= 1) return;
+    if (store->coldCreditAt >= store->started) earn(*store);
+    store->ceded = part;
+}
+
+// Work beyond what this front earns itself: others earn as much less. Of two loans the sooner end binds both.
+void Front::lend(const std::string& id, double work, Nanos until) {
+    Store* store = find(id);
+    if (!store || coldShare(*store) >= 1) return;
+    const bool more = now_ < store->lentUntil && store->lent > 0;
+    store->lent = more ? store->lent + work : work;
+    store->lentUntil = more ? std::min(store->lentUntil, until) : until;
+    serveHeld(groups_[store->group], 4);
 }
 
 bool Front::hasRoom(Store& store, const Transaction& transaction) {
@@ -721,7 +766,9 @@
     ++store.load[tierOf(lane)];
     const Nanos turn = static_cast<Nanos>(workOf(t.lane) / store.window);
     store.paidUntil = std::max(store.paidUntil, now_ - 2 * turn) + turn;
-    if (coldShare(store) < 1) store.coldCredit -= workOf(t.lane);
+    // What is lent first, as it does not keep.
+    const bool byLoan = now_ < store.lentUntil && store.lent >= workOf(t.lane);
+    if (coldShare(store) < 1) (byLoan ? store.lent : store.coldCredit) -= workOf(t.lane);
     if (store.suspectSince || store.awaySince) {
         store.trialPause = std::min(2 * store.trialPause, millis(2000));
         store.nextTrial = now_ + store.trialPause;
@@ -857,6 +904,11 @@
 void Front::hold(Transaction& t) {
     t.next = [this, &t](Ending) { route(t); };
     t.held = true;
+    if (const Store* cold = leastOf(
+            *t.group, charter_.front,
+            [&](Store* s) { return s->lackedAt == now_ && (s == t.group->primary || freshEnough(*s, t)); },
+            [&](Store* s) { return s != t.group->primary; }))
+        out_.scarce(cold->id, 1.1 * workOf(t.lane), gainNow(t) * 1e9, t.cutOff);  // its mean may rise meanwhile
     auto before = [&](const Transaction* a, const Transaction* b) {
         const double x = gainNow(*a), y = gainNow(*b);
         return x != y ? x > y : a->arrived < b->arrived;
--- a/src/facade/desk.hpp
+++ b/src/facade/desk.hpp
@@ -107,6 +107,11 @@
     void present(int fronts) { front_.present(fronts); }
     // How many fronts look for a group's primary, as Outlet::seekers says; empty: none is known.
     std::function<std::optional<int>(int group)> seeker;
+    // A cold store's credit is spent here, as Outlet::scarce says; empty: nobody lends any.
+    std::function<void(const std::string& store, double work, double gain, Nanos until)> borrower;
+    std::vector<ColdStore> coldStores() { return front().coldStores(); }
+    void cede(const std::string& store, double part) { front().cede(store, part); }
+    void lend(const std::string& store, double work, Nanos until) { front().lend(store, work, until); }
     void look(int group) { front().look(group); }
     void hinted(const std::string& store) { front().hinted(store); }
     std::optional<std::string> primaryOf(int group) { return front().primaryOf(group); }
@@ -136,6 +141,10 @@
         return seeker ? seeker(group) : std::optional<int>();
     }
 
+    void scarce(const std::string& store, double work, double gain, Nanos until) override {
+        if (borrower) borrower(store, work, gain, until);
+    }
+
     Front& front();
     void add(Errand errand);
     void give(const std::string& id, Step step);
--- a/src/fittings/fittings.cpp
+++ b/src/fittings/fittings.cpp
@@ -124,6 +124,8 @@
     at.within("lease_ms", 500, 60'000);
     at.within("margin_ms", 20, std::max(20u, owners.lease_ms() / 4));
     at.within("spread_seconds", 1, 3'600);
+    at.within("cede_ms", 500, 5'000);
+    at.within("assured_percent", 5, 100);
     const auto twice = [&](const char* field, auto list) {
         std::sort(list.begin(), list.end());
         if (std::adjacent_find(list.begin(), list.end()) != list.end()) at.wrong(field, "names one twice");
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -84,6 +84,16 @@
     // The front misses a group's primary. How many fronts look for it at the same time; 0: others do, and will tell
     // this one; none: nobody knows, so as many as there are.
     virtual std::optional<int> seekers(int /*group*/) { return {}; }
+    // A transaction waits as a cold store's credit is spent here; others may have some to lend. Its work (ns), what it
+    // would earn for a second of it, and until when it waits.
+    virtual void scarce(const std::string& /*store*/, double /*work*/, double /*gain*/, Nanos /*until*/) {}
+};
+
+// A store that is up and cold, as others may be told of it.
+struct ColdStore {
+    std::string id;
+    Nanos started = 0;
+    double part = 0;  // work that this front may give it in any time, as a share of that time, at the least
 };
 
 // A sum that halves with each half-life; it is brought up to date when it is read or added to.
@@ -159,6 +169,9 @@
     Nanos restsUntil = 0;
     double coldCredit = 0;
     Nanos coldCreditAt = 0;
+    double ceded = 0;  // of what is earned, to others
+    double lent = 0;   // work by others' leave
+    Nanos lentUntil = 0, lackedAt = 0;
 };
 
 // What the stores of a zone together show of the way to it.
@@ -223,6 +236,11 @@
     void hinted(const std::string& store);
     // A group's primary, where it is known and answers.
     std::optional<std::string> primaryOf(int group) const;
+    // What this front may give cold stores, in order of their ids, and what others have it use or leave. From `cede`
+    // on it earns so much less at the store (0: no longer), and by `lend` it may give it so much work (ns) more.
+    std::vector<ColdStore> coldStores();
+    void cede(const std::string& store, double part);
+    void lend(const std::string& store, double work, Nanos until);
 
     // For a caller that needs a while to connect: whether a launch may still be written to its store.
     bool mayStillGo(const std::string& id, const std::string& store) const;
@@ -262,9 +280,11 @@
     bool wellEnough(const Store& store) const;
     double coldShare(const Store& store) const;
     double coldRate(const Store& store) const;
+    void earn(Store& store);
     bool coldRoom(Store& store, double work);
     double workOf(int lane);
     double quickestWork();
+    double meanWork();
     bool hasRoom(Store& store, const Transaction& transaction);
     // pick
     bool zoneCounts(const Store& store) const;
--- a/src/owners/clerk.cpp
+++ b/src/owners/clerk.cpp
@@ -48,4 +48,27 @@
     if (const std::optional<Seek> seek = readSeek(bytes)) seeker_.heard(now, from, *seek);
 }
 
+WarmClerk::WarmClerk(tier::Members& members, Clerk& leases, const Warmer::Pace& pace, Nanos now, Warmer::Till& till,
+                     std::function<void(const std::string&)> log)
+    : members_(members),
+      now_(now),
+      warmer_(
+          members.me(), now, leases.owners(),
+          {[this] { return members_.in(tier::State::here); },
+           [this] { return members_.sight(now_) >= tier::Sight::most; }},
+          pace, till,
+          [this](int member, const Warm& warm) { members_.tell(now_, member, {warmKind, write(warm)}); }, std::move(log)) {
+    leases.onChange = [this](Key, bool) { warmer_.stir(); };
+    leases.owners().givenOutFor = [this](Key key) { return warmer_.outFor(key); };
+}
+
+int WarmClerk::kind() const {
+    return warmKind;
+}
+
+void WarmClerk::received(Nanos now, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) {
+    now_ = now;
+    if (const std::optional<Warm> warm = readWarm(bytes)) warmer_.heard(now, from, birth, sent, *warm);
+}
+
 }  // namespace granitereel::owners
--- a/src/owners/clerk.hpp
+++ b/src/owners/clerk.hpp
@@ -4,6 +4,7 @@
 
 #include "owners.hpp"
 #include "seeker.hpp"
+#include "warmer.hpp"
 #include "tier/guest.hpp"
 
 namespace granitereel::owners {
@@ -62,4 +63,26 @@
     Seeker seeker_;
 };
 
+// The warm-up of cold stores over a tier. To be made after the clerk whose leases it builds on, so that it hears of an
+// end after that.
+class WarmClerk final : public tier::Guest {
+public:
+    WarmClerk(tier::Members& members, Clerk& leases, const Warmer::Pace& pace, Nanos now, Warmer::Till& till,
+              std::function<void(const std::string&)> log);
+    Warmer& warmer() { return warmer_; }
+    const Warmer& warmer() const { return warmer_; }
+
+    int kind() const override;
+    void received(Nanos now, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) override;
+    void tick(Nanos now) override { warmer_.tick(now_ = now); }
+    Nanos next() const override { return warmer_.next(); }
+    void leave(Nanos now) override { warmer_.leave(now_ = now); }
+    void slept(Nanos) override { warmer_.stir(); }
+
+private:
+    tier::Members& members_;
+    Nanos now_;
+    Warmer warmer_;
+};
+
 }  // namespace granitereel::owners
--- a/src/owners/letter.cpp
+++ b/src/owners/letter.cpp
@@ -110,4 +110,92 @@
     return talk;
 }
 
+namespace {
+// Work as it travels: whole microseconds, rounded up.
+std::uint32_t wireWork(Nanos work) {
+    return static_cast<std::uint32_t>(work <= 0 ? 0 : std::min<Nanos>((work + 999) / 1000, UINT32_MAX));
+}
+// No transaction works for longer than this.
+constexpr std::uint32_t mostWork = 600'000'000;
+constexpr std::uint64_t latestStart = INT64_MAX / 1'000'000;
+}  // namespace
+
+std::string write(const Warm& warm) {
+    wire::Warm to;
+    for (const Warm::Open& each : warm.opens) {
+        wire::Open* open = to.add_opens();
+        open->set_key(each.key);
+        open->set_term(each.term);
+        open->set_left_ms(wireTime(each.left));
+        open->set_call(each.call);
+    }
+    for (const Warm::Cession& each : warm.cessions) {
+        wire::Cession* cession = to.add_cessions();
+        cession->set_key(each.key);
+        cession->set_number(each.number);
+        cession->set_start_ms(static_cast<std::uint64_t>(each.start / millis(1)));
+        cession->set_part(each.part);
+        cession->set_time_ms(wireTime(each.time));
+    }
+    for (const Warm::Want& each : warm.wants) {
+        wire::Want* want = to.add_wants();
+        want->set_key(each.key);
+        want->set_term(each.term);
+        want->set_work_us(wireWork(each.work));
+        want->set_gain(each.gain);
+        want->set_wait_ms(wireTime(std::min(each.wait, millis(longest))));
+    }
+    for (const Warm::Slice& each : warm.slices) {
+        wire::Slice* slice = to.add_slices();
+        slice->set_key(each.key);
+        slice->set_term(each.term);
+        slice->set_start_ms(static_cast<std::uint64_t>(each.start / millis(1)));
+        slice->set_work_us(wireWork(each.work));
+        slice->set_left_ms(wireTime(each.left));
+    }
+    for (const Warm::Other& each : warm.others) {
+        wire::Other* other = to.add_others();
+        other->set_key(each.key);
+        other->set_owner(static_cast<std::uint32_t>(each.owner + 1));
+    }
+    for (const Warm::Return& each : warm.returns) {
+        wire::Return* given = to.add_returns();
+        given->set_key(each.key);
+        given->set_number(each.number);
+    }
+    return to.SerializeAsString();
+}
+
+std::optional<Warm> readWarm(const std::string& bytes) {
+    wire::Warm from;
+    if (!from.ParseFromString(bytes)) return {};
+    Warm warm;
+    for (const wire::Open& each : from.opens()) {
+        if (each.left_ms() > longest) return {};
+        warm.opens.push_back({each.key(), each.term(), millis(each.left_ms()), each.call()});
+    }
+    for (const wire::Cession& each : from.cessions()) {
+        // A part of more than a thousand cores is nobody's.
+        if (each.start_ms() > latestStart || each.time_ms() > longest || each.part() > 1'000'000'000) return {};
+        warm.cessions.push_back({each.key(), each.number(), millis(static_cast<std::int64_t>(each.start_ms())),
+                                 each.part(), millis(each.time_ms())});
+    }
+    for (const wire::Want& each : from.wants()) {
+        if (each.work_us() > mostWork || each.wait_ms() > longest || !(each.gain() >= 0)) return {};
+        warm.wants.push_back(
+            {each.key(), each.term(), Nanos(each.work_us()) * 1000, each.gain(), millis(each.wait_ms())});
+    }
+    for (const wire::Slice& each : from.slices()) {
+        if (each.start_ms() > latestStart || each.work_us() > mostWork || each.left_ms() > longest) return {};
+        warm.slices.push_back({each.key(), each.term(), millis(static_cast<std::int64_t>(each.start_ms())),
+                               Nanos(each.work_us()) * 1000, millis(each.left_ms())});
+    }
+    for (const wire::Other& each : from.others()) {
+        if (each.owner() > 1 << 16) return {};
+        warm.others.push_back({each.key(), static_cast<int>(each.owner()) - 1});
+    }
+    for (const wire::Return& each : from.returns()) warm.returns.push_back({each.key(), each.number()});
+    return warm;
+}
+
 }  // namespace granitereel::owners
--- a/src/owners/owners.hpp
+++ b/src/owners/owners.hpp
@@ -39,6 +39,8 @@
     int duty(Key key) const;
     std::optional<Hold> holds(Nanos now, Key key) const { return leases_.holds(now, key); }
     Fence& fence() { return fence_; }
+    // What was seen of owners' acts, by key.
+    const std::map<Key, Fence::Seen>& seen() const { return fence_.all(); }
     const Leases& leases() const { return leases_; }
     const Elector* elector() const { return elector_.get(); }
 
--- a/src/run/fleet.cpp
+++ b/src/run/fleet.cpp
@@ -44,6 +44,44 @@
     owners::SeekClerk clerk_;
 };
 
+// The decisions as the warm-up of cold stores knows them.
+class Till final : public owners::Warmer::Till {
+public:
+    explicit Till(Desk& desk) : desk_(desk) {}
+    std::vector<owners::Warmer::Cold> cold() override {
+        std::vector<owners::Warmer::Cold> all;
+        for (ColdStore& each : desk_.coldStores()) all.push_back({std::move(each.id), each.started, each.part});
+        return all;
+    }
+    void cede(const std::string& store, double part) override { desk_.cede(store, part); }
+    void lend(const std::string& store, Nanos work, Nanos until) override {
+        desk_.lend(store, double(work), until);
+    }
+
+private:
+    Desk& desk_;
+};
+
+class WarmGuest final : public tier::Guest {
+public:
+    WarmGuest(tier::Members& members, owners::Clerk& leases, const owners::Warmer::Pace& pace, Nanos now, Desk& desk,
+              std::function<void(const std::string&)> log)
+        : till_(desk), clerk_(members, leases, pace, now, till_, std::move(log)) {}
+    owners::Warmer& warmer() { return clerk_.warmer(); }
+    int kind() const override { return clerk_.kind(); }
+    void received(Nanos now, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) override {
+        clerk_.received(now, from, birth, sent, bytes);
+    }
+    void tick(Nanos now) override { clerk_.tick(now); }
+    Nanos next() const override { return clerk_.next(); }
+    void leave(Nanos now) override { clerk_.leave(now); }
+    void slept(Nanos now) override { clerk_.slept(now); }
+
+private:
+    Till till_;
+    owners::WarmClerk clerk_;
+};
+
 owners::Electors electorsOf(const fittings::Owners& owners, int fronts) {
     if (owners.electors_size() == 0) return owners::Electors::first(fronts);
     owners::Electors electors;
@@ -82,7 +120,22 @@
         post.host(std::move(guest));
         desk.seeker = [seeks, &clock](int group) { return seeks->seekers(clock.now(), group); };
     }
-    post.shows = [&leases, seeks, &clock, &desk](json::object& line) {
+    owners::Warmer* warmer = nullptr;
+    if (owners.warm_stores()) {
+        owners::Warmer::Pace pace;
+        pace.ceded = millis(owners.cede_ms());
+        pace.share = 1 - double(owners.assured_percent()) / 100;
+        auto guest = std::make_unique<WarmGuest>(post.members(), leases, pace, now, desk, [](const std::string& line) {
+            spdlog::info("warm: {}", line);
+        });
+        warmer = &guest->warmer();
+        post.host(std::move(guest));
+        desk.borrower = [warmer, &clock, &post](const std::string& store, double work, double gain, Nanos until) {
+            warmer->scarce(clock.now(), store, {static_cast<Nanos>(work), gain, until});
+            post.stir();
+        };
+    }
+    post.shows = [&leases, seeks, warmer, &clock, &desk](json::object& line) {
         const Nanos at = clock.now();
         const owners::Owners& shown = leases.owners();
         json::array held;
@@ -94,6 +147,21 @@
                                         {"left_ms", (hold.end - at) / millis(1)},
                                         {"mine", true}});
         }
+        if (warmer) {
+            const auto& told = warmer->told();
+            line["warm"] = json::object{{"ceded", told.ceded},
+                                        {"wants", told.wants},
+                                        {"lent", told.lent},
+                                        {"got", told.got},
+                                        {"refused", told.refused}};
+            for (const auto& [key, seen] : shown.seen())
+                if (const std::string store = warmer->storeOf(key); !store.empty() && seen.owner != line["me"])
+                    held.push_back(json::object{{"key", "warm/" + store},
+                                                {"term", seen.term},
+                                                {"owner", seen.owner},
+                                                {"left_ms", std::max<Nanos>(0, seen.end - at) / millis(1)},
+                                                {"mine", false}});
+        }
         line["leases"] = held;
         json::object duties;
         if (seeks)
--- a/standins/world.cpp
+++ b/standins/world.cpp
@@ -236,6 +236,10 @@
     return process->members->sight(process->clock());
 }
 
+bool World::stalledNow(int front) const {
+    return processes_[static_cast<std::size_t>(front)]->stalled();
+}
+
 Nanos World::clockOf(int front, bool elder) const {
     return (elder ? elders_ : processes_)[static_cast<std::size_t>(front)]->clock();
 }
--- a/standins/world.hpp
+++ b/standins/world.hpp
@@ -63,6 +63,7 @@
     // Whether all fronts that are up hold the same view.
     bool agree() const;
     tier::Sight sight(int front) const;
+    bool stalledNow(int front) const;
     // What a front's own clock shows now.
     Nanos clockOf(int front, bool elder = false) const;
 
