--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -499,7 +499,7 @@
     return cold;
 }
 
-// What was earned before at the old rate is kept: nothing is taken back later for a time in which it was ceded.
+// What was earned before at the old rate is kept; nothing is earned later for a time in which it was ceded.
 void Front::cede(const std::string& id, double part) {
     Store* store = find(id);
     if (!store || coldShare(*store) >= 1) return;
@@ -908,7 +908,8 @@
             *t.group, charter_.front,
             [&](Store* s) { return s->lackedAt == now_ && (s == t.group->primary || freshEnough(*s, t)); },
             [&](Store* s) { return s != t.group->primary; }))
-        out_.scarce(cold->id, 1.1 * workOf(t.lane), gainNow(t) * 1e9, t.cutOff);  // its mean may rise meanwhile
+        // A tenth more, as its mean may rise meanwhile.
+        out_.scarce(cold->id, 1.1 * workOf(t.lane), gainNow(t) * 1e9, t.cutOff);
     auto before = [&](const Transaction* a, const Transaction* b) {
         const double x = gainNow(*a), y = gainNow(*b);
         return x != y ? x > y : a->arrived < b->arrived;
--- a/standins/tier.cpp
+++ b/standins/tier.cpp
@@ -39,14 +39,17 @@
       primary_("primary", audit_),
       fronts_(static_cast<std::size_t>(wish.count)) {
     for (int i = 0; i < wish.replicas; ++i) replicas_.push_back(std::make_unique<Store>("replica", audit_));
-    std::string entries = store("p", primary_, "primary");
+    if (wish.cold) started_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                  std::chrono::system_clock::now().time_since_epoch())
+                                  .count();
+    std::string entries = store("p", primary_, "primary", started_);
     for (std::size_t i = 0; i < replicas_.size(); ++i)
         entries += "," + store("r" + std::to_string(i), *replicas_[i], "replica");
     registry_.publish(entries);
     known_ = json::parse("[" + entries + "]");
-    fittings_ = temporary("tier { on: " + std::string(wish.on ? "true" : "false") + " " + wish.tier + " }\n" +
-                          wish.more + "\n");
     for (int i = 0; i < wish.count; ++i) {
+        fittings_.push_back(temporary("tier { on: " + std::string(wish.on ? "true" : "false") + " " + wish.tier + " }\n" +
+                                      (wish.moreOf ? wish.moreOf(i) : wish.more) + "\n"));
         ports_.push_back(granitereel::Place().port);
         portsBeside_.push_back(granitereel::Place().port);
         files_.push_back(temporary(config(i, wish.count, links_.listens(i))));
@@ -60,17 +63,18 @@
     fronts_.clear();
     elders_.clear();
     for (const std::string& each : files_) ::unlink(each.c_str());
-    ::unlink(fittings_.c_str());
+    for (const std::string& each : fittings_) ::unlink(each.c_str());
 }
 
-std::string Tier::store(const std::string& name, const Store& at, const std::string& role) const {
+std::string Tier::store(const std::string& name, const Store& at, const std::string& role,
+                        std::int64_t since) const {
     return json::serialize(json::object{{"name", name},
                                         {"address", at.place().address()},
                                         {"zone", "a"},
                                         {"group", 3},
                                         {"status", "Ready"},
                                         {"weight", 1.0},
-                                        {"since_ms", 0},
+                                        {"since_ms", since},
                                         {"role", role}});
 }
 
@@ -95,7 +99,8 @@
           {"probes", false},
           {"retry-after", true},
           {"try-limit", 6}}},
-        {"guarantees", json::object{}},
+        {"guarantees", wish_.cold ? json::object{{"ramp-time-ms", 60'000}, {"cold-from", 0.1}, {"fall-multiple", 0.5}}
+                                  : json::object{}},
         {"report", {{"how", "on_probe"}, {"fields", {"x0", "x1"}}}},
         {"domain",
          {{"guards", "off"},
@@ -117,14 +122,14 @@
                      {"settings", settings}});
 }
 
-std::vector<std::string> Tier::words(const std::string& file) const {
-    return {"serve", "--config", file, "--fittings", fittings_};
+std::vector<std::string> Tier::words(const std::string& file, int front) const {
+    return {"serve", "--config", file, "--fittings", fittings_[static_cast<std::size_t>(front)]};
 }
 
 void Tier::start(int number) {
     const auto at = static_cast<std::size_t>(number);
     fronts_[at] = nullptr;
-    fronts_[at] = std::make_unique<Process>(program_, words(files_[at]), "n" + std::to_string(number));
+    fronts_[at] = std::make_unique<Process>(program_, words(files_[at], number), "n" + std::to_string(number));
     fronts_[at]->logged("serving");
 }
 
@@ -150,7 +155,7 @@
     const auto at = static_cast<std::size_t>(number);
     elders_.push_back(std::move(fronts_[at]));
     files_.push_back(temporary(config(number, count(), links_.listensBeside(number), true)));
-    fronts_[at] = std::make_unique<Process>(program_, words(files_.back()), "n" + std::to_string(number) + "'");
+    fronts_[at] = std::make_unique<Process>(program_, words(files_.back(), number), "n" + std::to_string(number) + "'");
     fronts_[at]->logged("serving");
     return *elders_.back();
 }
@@ -178,6 +183,16 @@
     seen.sent = read.at("sent").to_number<std::uint64_t>();
     seen.heard = read.at("heard").to_number<std::uint64_t>();
     seen.silenced = read.at("silenced").as_bool();
+    if (const json::value* warm = read.if_contains("warm")) {
+        seen.lent = warm->at("lent").to_number<std::uint64_t>();
+        seen.got = warm->at("got").to_number<std::uint64_t>();
+        seen.refused = warm->at("refused").to_number<std::uint64_t>();
+        for (const json::value& each : read.at("leases").as_array()) {
+            if (each.at("key").as_string() != "warm/p") continue;
+            seen.term = std::max(seen.term, each.at("term").to_number<std::uint64_t>());
+            seen.owns = seen.owns || each.at("mine").as_bool();
+        }
+    }
     for (const auto& [name, value] : read.at("dropped").as_object())
         seen.dropped[std::string(name)] = value.to_number<std::uint64_t>();
     return seen;
@@ -240,7 +255,7 @@
     return End(fd);
 }
 
-void Tier::ask(int client) {
+void Tier::ask(int client, int fronts) {
     std::minstd_rand chance(static_cast<std::minstd_rand::result_type>(wish_.seed * 100 + 1 + client));
     chance.discard(2);
     for (int n = 0; !over_; ++n) {
@@ -258,7 +273,9 @@
         // Asked of one front after another until one answers; a one-shot that went with its front is not asked
         // again, as nobody can tell whether it ran.
         for (;;) {
-            End end = this->client(static_cast<int>(chance() % static_cast<unsigned>(count())));
+            int front = static_cast<int>(chance() % static_cast<unsigned>(fronts));
+            for (int tried = 0; tried < fronts && (avoided_ >> front & 1); ++tried) front = (front + 1) % fronts;
+            End end = this->client(front);
             // Longer than any script stops a front.
             constexpr int seconds = 40;
             const std::string said = end.open() && end.helloOrEnd(seconds) ? end.askOrEnd(statement, seconds)
@@ -271,10 +288,20 @@
     }
 }
 
-void Tier::load(int clients) {
+void Tier::avoid(int front, bool on) {
+    const std::uint64_t bit = std::uint64_t(1) << front;
+    if (on)
+        avoided_ |= bit;
+    else
+        avoided_ &= ~bit;
+}
+
+void Tier::load(int clients, int fronts) {
     over_ = false;
     for (int i = 0; i < clients; ++i)
-        clients_.emplace_back([this, i = i + static_cast<int>(items_.size())] { ask(i); });
+        clients_.emplace_back([this, i = i + static_cast<int>(items_.size()), fronts] {
+            ask(i, fronts > 0 ? fronts : count());
+        });
 }
 
 std::pair<int, int> Tier::stop() {
--- a/standins/tier.hpp
+++ b/standins/tier.hpp
@@ -23,6 +23,9 @@
     std::uint64_t sent = 0, heard = 0;
     std::map<std::string, std::uint64_t> dropped;
     bool silenced = false;
+    // Of warm-ups: slices lent and had, acts refused; the highest term of `warm/p` and whether it is this front's own.
+    std::uint64_t lent = 0, got = 0, refused = 0, term = 0;
+    bool owns = false;
 };
 
 class Tier {
@@ -34,6 +37,8 @@
         std::string tier = "name: \"rig\" round_ms: 200 answer_ms: 80";
         bool on = true;
         std::string more{};  // further blocks of that file
+        std::function<std::string(int front)> moreOf{};  // instead, where fronts differ
+        bool cold = false;   // the primary has just started, and bears little for a minute
         int replicas = 2;
         bool mayTell = true;
     };
@@ -71,20 +76,24 @@
 
     // Clients of their own threads, each asking one front after another, until stop(); every item is answered by
     // someone or written off with the front that it was lost with.
-    void load(int clients);
+    // Of all fronts, or of the first so many.
+    void load(int clients, int fronts = 0);
+    // Clients turn to others from now on, or to it again; those that wait there go on waiting.
+    void avoid(int front, bool on);
     // Ends the load and checks the rules over all fronts. Returns how many items were asked, and delivered.
     std::pair<int, int> stop();
 
     std::string config(int number, int peers, const std::string& listen, bool beside = false) const;
     std::string file(int number) const { return files_[static_cast<std::size_t>(number)]; }
     // The command line for a config.
-    std::vector<std::string> words(const std::string& file) const;
+    std::vector<std::string> words(const std::string& file, int front = 0) const;
     // A client's connection to a front's port.
     End client(int number) const;
 
 private:
-    void ask(int client);
-    std::string store(const std::string& name, const Store& at, const std::string& role) const;
+    void ask(int client, int fronts);
+    std::atomic<std::uint64_t> avoided_{0};  // fronts, a bit each
+    std::string store(const std::string& name, const Store& at, const std::string& role, std::int64_t since = 0) const;
 
     const char* program_;
     const Wish wish_;
@@ -97,7 +106,8 @@
     std::vector<std::unique_ptr<Process>> fronts_, elders_;
     std::vector<int> ports_, portsBeside_;
     std::vector<std::string> files_;
-    std::string fittings_;
+    std::vector<std::string> fittings_;  // by front
+    std::int64_t started_ = 0;           // the primary, in Unix milliseconds
     std::atomic<bool> over_{false};
     std::mutex lock_;
     std::vector<std::string> items_;
