Take the rig's ports from below those of outgoing connections

Cause: one whole run of tests/leases.cpp ended with "n3: never logged 'serving'": a front's port was chosen from the system's own range and freed, and may be taken by a connection of another process before the front starts. What took it was not seen.

Change: the rig looks for free ports between 18,000 and 30,000.

--- a/standins/tier.cpp
+++ b/standins/tier.cpp
@@ -21,6 +21,25 @@
             {"aim-ms", 2000},        {"hard-limit-ms", 4000}, {"late-value", 0.5}, {"window-ms", 5000}};
 }
 
+// A free port below those that the system gives to outgoing connections (32768 on, by default): one of these could
+// take a port between its choice and its use.
+int quietPort() {
+    static std::atomic<int> next{0};
+    for (int tried = 0; tried < 12'000; ++tried) {
+        const int port = 18'000 + (static_cast<int>(::getpid()) * 61 + next++) % 12'000;
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        at.sin_port = htons(static_cast<std::uint16_t>(port));
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const bool free = ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+        ::close(fd);
+        if (free) return port;
+    }
+    assert(!"no port is free");
+    return 0;
+}
+
 std::string temporary(const std::string& content) {
     char name[] = "/tmp/granitereel-XXXXXX";
     const int fd = ::mkstemp(name);
@@ -50,8 +69,8 @@
     for (int i = 0; i < wish.count; ++i) {
         fittings_.push_back(temporary("tier { on: " + std::string(wish.on ? "true" : "false") + " " + wish.tier + " }\n" +
                                       (wish.moreOf ? wish.moreOf(i) : wish.more) + "\n"));
-        ports_.push_back(granitereel::Place().port);
-        portsBeside_.push_back(granitereel::Place().port);
+        ports_.push_back(quietPort());
+        portsBeside_.push_back(quietPort());
         files_.push_back(temporary(config(i, wish.count, links_.listens(i))));
     }
 }
