Make a guest and what it asks one object by its bases; four forwarding classes go

Cause: SeekGuest, WarmGuest, a test and a benchmark each wrote the same six forwarding lines.

Change: what a clerk asks is a base before the clerk; no line forwards any more.

--- a/bench/owners.cpp
+++ b/bench/owners.cpp
@@ -130,19 +130,12 @@
     }
 };
 
-struct WarmHost final : tier::Guest {
+struct Beside {
     Till till;
-    WarmClerk clerk;
+};
+struct WarmHost final : Beside, WarmClerk {
     WarmHost(const World& world, double part, tier::Members& members, Clerk& leases, Nanos now)
-        : till(world, part), clerk(members, leases, {}, now, till, [](const std::string&) {}) {}
-    int kind() const override { return clerk.kind(); }
-    void received(Nanos at, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) override {
-        clerk.received(at, from, birth, sent, bytes);
-    }
-    void tick(Nanos at) override { clerk.tick(at); }
-    Nanos next() const override { return clerk.next(); }
-    void leave(Nanos at) override { clerk.leave(at); }
-    void slept(Nanos at) override { clerk.slept(at); }
+        : Beside{Till(world, part)}, WarmClerk(members, leases, {}, now, till, [](const std::string&) {}) {}
 };
 
 // Transactions that wait half a second each come to one front in ten at ten times the mean, by chance, and to the others
@@ -187,7 +180,7 @@
                     while (!queue.empty() && host(i).till.launch(world.now())) queue.erase(queue.begin());
                     if (queue.empty() || !lending) continue;
                     const Nanos clock = world.clockOf(i);
-                    host(i).clerk.warmer().scarce(clock, "s", {Nanos(Till::work), 1, clock + queue.front() - world.now()});
+                    host(i).warmer().scarce(clock, "s", {Nanos(Till::work), 1, clock + queue.front() - world.now()});
                     world.stir(i);
                 }
             }
--- a/src/owners/clerk.hpp
+++ b/src/owners/clerk.hpp
@@ -43,7 +43,7 @@
 };
 
 // The seeking of primaries over a tier.
-class SeekClerk final : public tier::Guest {
+class SeekClerk : public tier::Guest {
 public:
     SeekClerk(tier::Members& members, Nanos now, Seeker::Finder& finder);
     Seeker& seeker() { return seeker_; }
@@ -65,7 +65,7 @@
 
 // The warm-up of cold stores over a tier. To be made after the clerk whose leases it builds on, so that it hears of an
 // end after that.
-class WarmClerk final : public tier::Guest {
+class WarmClerk : public tier::Guest {
 public:
     WarmClerk(tier::Members& members, Clerk& leases, const Warmer::Pace& pace, Nanos now, Warmer::Till& till,
               std::function<void(const std::string&)> log);
--- a/src/run/fleet.cpp
+++ b/src/run/fleet.cpp
@@ -25,23 +25,14 @@
     Desk& desk_;
 };
 
-// A guest with the decisions beside it, so that both live equally long.
-class SeekGuest final : public tier::Guest {
-public:
-    SeekGuest(tier::Members& members, Nanos now, Desk& desk) : finder_(desk), clerk_(members, now, finder_) {}
-    owners::SeekClerk& clerk() { return clerk_; }
-    int kind() const override { return clerk_.kind(); }
-    void received(Nanos now, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) override {
-        clerk_.received(now, from, birth, sent, bytes);
-    }
-    void tick(Nanos now) override { clerk_.tick(now); }
-    Nanos next() const override { return clerk_.next(); }
-    void leave(Nanos now) override { clerk_.leave(now); }
-    void slept(Nanos now) override { clerk_.slept(now); }
-
-private:
-    Finder finder_;
-    owners::SeekClerk clerk_;
+// A guest with the decisions beside it, so that both live equally long: what it asks is made before it.
+template <class Asked>
+struct With {
+    Asked asked;
+};
+struct SeekGuest final : private With<Finder>, public owners::SeekClerk {
+    SeekGuest(tier::Members& members, Nanos now, Desk& desk)
+        : With{Finder(desk)}, owners::SeekClerk(members, now, asked) {}
 };
 
 // The decisions as the warm-up of cold stores knows them.
@@ -62,24 +53,10 @@
     Desk& desk_;
 };
 
-class WarmGuest final : public tier::Guest {
-public:
+struct WarmGuest final : private With<Till>, public owners::WarmClerk {
     WarmGuest(tier::Members& members, owners::Clerk& leases, const owners::Warmer::Pace& pace, Nanos now, Desk& desk,
               std::function<void(const std::string&)> log)
-        : till_(desk), clerk_(members, leases, pace, now, till_, std::move(log)) {}
-    owners::Warmer& warmer() { return clerk_.warmer(); }
-    int kind() const override { return clerk_.kind(); }
-    void received(Nanos now, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) override {
-        clerk_.received(now, from, birth, sent, bytes);
-    }
-    void tick(Nanos now) override { clerk_.tick(now); }
-    Nanos next() const override { return clerk_.next(); }
-    void leave(Nanos now) override { clerk_.leave(now); }
-    void slept(Nanos now) override { clerk_.slept(now); }
-
-private:
-    Till till_;
-    owners::WarmClerk clerk_;
+        : With{Till(desk)}, owners::WarmClerk(members, leases, pace, now, asked, std::move(log)) {}
 };
 
 owners::Electors electorsOf(const fittings::Owners& owners, int fronts) {
@@ -116,7 +93,7 @@
     owners::SeekClerk* seeks = nullptr;
     if (owners.seek_primaries()) {
         auto guest = std::make_unique<SeekGuest>(post.members(), now, desk);
-        seeks = &guest->clerk();
+        seeks = guest.get();
         post.host(std::move(guest));
         desk.seeker = [seeks, &clock](int group) { return seeks->seekers(clock.now(), group); };
     }
--- a/tests/warm.cpp
+++ b/tests/warm.cpp
@@ -48,19 +48,12 @@
     }
 };
 
-struct Host final : tier::Guest {
+struct Beside {
     Purse purse;
-    WarmClerk clerk;
+};
+struct Host final : Beside, WarmClerk {
     Host(tier::Members& members, Clerk& leases, Nanos now, Purse own, const std::function<void(const std::string&)>& log)
-        : purse(std::move(own)), clerk(members, leases, {}, now, purse, log) {}
-    int kind() const override { return clerk.kind(); }
-    void received(Nanos at, int from, std::uint32_t birth, Nanos sent, const std::string& bytes) override {
-        clerk.received(at, from, birth, sent, bytes);
-    }
-    void tick(Nanos at) override { clerk.tick(at); }
-    Nanos next() const override { return clerk.next(); }
-    void leave(Nanos at) override { clerk.leave(at); }
-    void slept(Nanos at) override { clerk.slept(at); }
+        : Beside{std::move(own)}, WarmClerk(members, leases, {}, now, purse, log) {}
 };
 
 constexpr Nanos work = millis(50);
@@ -138,7 +131,7 @@
             world.run(std::min(end, world.now() + step));
             for (const int i : wishing) {
                 if (!world.up(i) || world.stalledNow(i)) continue;
-                host(i).clerk.warmer().scarce(world.clockOf(i), "s", {work, 1.0 + i, world.clockOf(i) + millis(400)});
+                host(i).warmer().scarce(world.clockOf(i), "s", {work, 1.0 + i, world.clockOf(i) + millis(400)});
                 world.stir(i);
             }
             check();
@@ -238,7 +231,7 @@
         fleet.world.holds = nullptr;
         fleet.world.letGo();
         fleet.pass(millis(100));
-        for (int i = 0; i < 7; ++i) refused += static_cast<int>(fleet.host(i).clerk.warmer().told().refused);
+        for (int i = 0; i < 7; ++i) refused += static_cast<int>(fleet.host(i).warmer().told().refused);
     }
     assert(refused > 20);
 }
