--- /dev/null
+++ b/src/counter/pooler.hpp
@@ -0,0 +1,250 @@
+// The proxy's state machine: clients' sessions pooled onto connections to stores ("lines"). A transaction stays on
+// one line until it ends; single statements take any. Which store runs a statement is decided by Front, the module
+// that the program in service uses too; here stand the sessions, the lines, and what makes a read safe. Free of I/O,
+// clocks and chance: what comes in is handed over with the time, what is to be done comes out.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "board/gossip.hpp"
+#include "counter/horizon.hpp"
+#include "counter/wire.hpp"
+#include "front.hpp"
+#include "satchel/satchel.hpp"
+#include "waybill/waybill.hpp"
+
+namespace granitereel::counter {
+
+using Json = nlohmann::json;
+
+struct ToClient {
+    int client = 0;
+    std::string bytes;
+};
+struct EndClient {  // what was sent is written first
+    int client = 0;
+};
+struct HoldClient {  // reads no more from it for now
+    int client = 0;
+    bool on = false;
+};
+struct OpenLine {
+    int line = 0;
+    std::string address;
+};
+struct ToLine {
+    int line = 0;
+    std::string bytes;
+};
+struct CloseLine {
+    int line = 0;
+};
+struct ToCourier {
+    Json message;
+};
+struct ToLog {
+    std::string text;
+};
+using Output = std::variant<ToClient, EndClient, HoldClient, OpenLine, ToLine, CloseLine, ToCourier, ToLog>;
+
+// What has happened since the start, for the log.
+struct Counts {
+    std::uint64_t sessions = 0, statements = 0, transactions = 0, answered = 0, promised = 0, indoubt = 0, opened = 0,
+                  own = 0, guarded = 0, lagging = 0;
+};
+
+class Pooler : private Outlet {
+public:
+    Pooler(const satchel::Satchel& satchel, std::uint64_t seed, Nanos now);
+    ~Pooler() override;
+
+    void clientCame(int client, Nanos now);
+    void clientSaid(int client, std::string_view line, Nanos now);
+    void clientLeft(int client, Nanos now);
+    void lineOpened(int line, Nanos now);
+    void lineSaid(int line, std::string_view text, Nanos now);
+    void lineEnded(int line, bool refused, Nanos now);
+    // The link to the agent: it is there, it is lost, it says something.
+    void courierUp(Nanos now);
+    void courierDown();
+    void courierSaid(const Json& message, Nanos now);
+    void tick(Nanos now);
+    // The process is told to end: sessions at rest are closed, transactions are given `half` to end.
+    void leave(Nanos now);
+    bool ready() const;
+    bool over() const { return leaving_ && sessions_.empty(); }
+
+    std::vector<Output> take() { return std::exchange(outputs_, {}); }
+    const Counts& counts() const { return counts_; }
+    std::size_t sessions() const { return sessions_.size(); }
+    std::size_t lines() const { return lines_.size(); }
+
+private:
+    struct Service;
+    struct Store {
+        std::string id, address, district, standing, role;
+        Service* service = nullptr;
+        std::set<int> idle;
+        int lines = 0;
+        bool gone = false, probing = false;
+        Nanos windingSince = 0, heard = 0, suspectedAt = 0;
+        std::deque<int> waiting;  // clients whose statement waits for a line
+    };
+    struct Service {
+        std::string name;
+        int group = 0, berthCap = 0;
+        std::string lead;
+        std::uint64_t term = 0, seq = 0;
+        bool steady = false;
+        Horizon horizon;
+        std::map<std::string, Store*> stores;
+    };
+    struct Prepared {
+        bool writes = false;
+        std::string shape;
+        bool operator==(const Prepared&) const = default;
+    };
+    enum class Part { prelude, begin, main, cleanup };
+    struct Session;
+    struct Line {
+        int no = 0;
+        Store* store = nullptr;
+        bool open = false, probe = false, dead = false;
+        std::map<std::string, std::string> values;
+        std::set<std::string> prepared;
+        Session* user = nullptr;    // whose statement or transaction it serves
+        bool inTx = false;          // the store holds a transaction of ours open
+        std::deque<Part> expects;
+        std::string rows, done;
+        std::optional<Error> error;
+        std::string errorText;
+        Nanos askedAt = 0, usedAt = 0, heardAt = 0, abandonedAt = 0;
+        bool proven = false;        // the store had the lead for certain when it was asked
+    };
+    // A statement in hand.
+    struct Op {
+        Statement statement;
+        std::string key;  // by which Front knows it; empty: it goes to the line that the session is pinned to
+        std::string after, text;  // as the store gets it
+        std::string prepared;
+        int lane = 0, launches = 0;
+        bool writes = false, commit = false, guarded = false, sent = false, preluding = false;
+        Store* store = nullptr;
+        Line* line = nullptr;
+        Nanos came = 0, launchedAt = 0, deadline = 0;
+        std::optional<Error> lastError;
+        std::string lastText;
+    };
+    struct Tx {
+        bool readOnly = false, begun = false, wrote = false;
+        std::string beginId;
+        Nanos came = 0;
+        waybill::Route route;
+    };
+    struct Session {
+        int client = 0;
+        bool greeted = false, gone = false, held = false;
+        std::string database;
+        char state = 'I';
+        std::map<std::string, std::string> values;
+        std::map<std::string, Prepared> prepared;
+        std::optional<Tx> tx;
+        std::optional<Op> op;
+        Line* line = nullptr;  // pinned to
+        std::optional<Mark> own;
+        Nanos ownAt = 0, restsSince = 0;
+        std::deque<std::string> queue;
+        std::size_t queued = 0;
+    };
+
+    // Outlet
+    void launch(const std::string& key, const std::string& store, Nanos within) override;
+    void nack(const std::string& key, Nanos comeBackAfter) override;
+    void writeOff(const std::string& key) override;
+    void cancel(const std::string& key, int launchNo) override;
+    void probe(const std::string& store) override;
+    void hangUp(const std::string& store) override;
+    void followList(bool) override {}
+    void askList() override {}
+    void tell(std::optional<int>, const std::string&) override {}
+    void wake(Nanos when, std::int64_t) override { wakeAt_ = when; }
+    void log(const std::string& line) override { outputs_.push_back(ToLog{line}); }
+
+    void begin(Nanos now);
+    void settle();
+    void news(const std::string& name, const board::Record& record);
+    void storeNews(const std::string& id, const Json& body);
+    void leadNews(const std::string& service, const Json& body);
+    void configNews(const Json& body);
+    Service& service(const std::string& name);
+    void standing(Store& store);
+
+    void proceed(Session& s);
+    void greet(Session& s, std::string_view rest);
+    void query(Session& s, Statement statement);
+    void local(Session& s, const std::string& line, char state);
+    void refuse(Session& s, Error error, std::string_view text, char state);
+    void run(Session& s, Statement statement);
+    int laneOf(const waybill::Route& route, bool writes, bool transaction);
+    void place(Session& s, const std::string& storeId);
+    Line* lineFor(Session& s, Store& store);
+    void openLine(Store& store, bool probe);
+    void prelude(Session& s, Line& line);
+    void sendMain(Session& s, Line& line);
+    bool safe(Session& s, Store& store, std::string& after, bool& guarded);
+    void answered(Line& line, Part part, char state, std::optional<Mark> mark);
+    void mainAnswered(Session& s, Line& line, char state, std::optional<Mark> mark);
+    void finishOp(Session& s, Line& line, const std::string& bytes, char state);
+    void report(const std::string& key, int launchNo, Store& store, Ending how, Nanos launchedAt,
+                std::optional<Nanos> position, bool over);
+    void release(Line& line, const std::string& abortId);
+    void idle(Line& line);
+    void drop(Line& line);
+    void serveWaiting(Store& store);
+    void endTx(Session& s);
+    void ended(Line& line, bool refused);
+    void lost(Session& s, Line& line, Ending how = Ending::broken);
+    void remove(int client);
+    void unwait(Session& s);
+    void suspect(Store& store, const char* why);
+    bool provable(const Service& service) const;
+    int share(const Service& service) const;
+    void ask(Line& line, std::string_view id, std::string_view text, Part part);
+    void answerLast(Session& s);
+
+    const satchel::Satchel satchel_;
+    std::vector<Output> outputs_;
+    Nanos now_, wakeAt_ = 0;
+    board::Gossip gossip_;
+    Front front_;
+    waybill::Waybill waybill_;
+    bool configured_ = false, leaving_ = false, courier_ = false;
+    Nanos leftAt_ = 0, leaseUntil_ = 0, askedAt_ = 0, sweptAt_ = 0;
+    std::uint64_t askNo_ = 0, keyNo_ = 0;
+    std::map<std::uint64_t, Nanos> leaseAsks_;
+    std::map<std::string, std::uint64_t> cautions_;
+    std::map<std::string, std::unique_ptr<Service>> services_;
+    std::map<int, Service*> byGroup_;
+    std::unordered_map<std::string, std::unique_ptr<Store>> stores_;
+    std::unordered_map<int, std::unique_ptr<Session>> sessions_;
+    std::unordered_map<int, std::unique_ptr<Line>> lines_;
+    std::unordered_map<std::string, Session*> byKey_;
+    std::unordered_map<std::string, std::string> shapeNames_;
+    std::deque<std::pair<std::string, std::string>> launches_;  // key, store
+    std::deque<std::pair<std::string, int>> cancels_;
+    std::deque<std::string> probes_, probed_;
+    std::deque<int> woken_;  // clients whose next statement may be taken
+    std::vector<int> buried_;
+    std::map<std::string, int> districts_;
+    int lastLine_ = 0, fronts_ = 1;
+    Counts counts_;
+};
+
+}  // namespace granitereel::counter
--- /dev/null
+++ b/src/counter/program.cpp
@@ -0,0 +1,239 @@
+#include "counter/program.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <random>
+
+#include "counter/pooler.hpp"
+#include "parcel/http.hpp"
+#include "parcel/link.hpp"
+#include "parcel/steady.hpp"
+
+namespace granitereel::counter {
+
+namespace {
+namespace asio = boost::asio;
+using parcel::steadyNow;
+using parcel::Stream;
+
+// A client that takes none of its answers is let go once so much waits for it.
+constexpr std::size_t unsentMost = 4 * 1024 * 1024;
+constexpr Nanos countsEvery = millis(10'000);
+
+class Program {
+public:
+    Program(const satchel::Satchel& satchel, const std::string& settingsPath)
+        : satchel_(satchel),
+          settingsPath_(settingsPath),
+          loop_(1),
+          pooler_(satchel, std::random_device{}(), steadyNow()),
+          ticker_(loop_),
+          signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+          clientsMost_(static_cast<std::size_t>(std::max(16, satchel.fileHandles * 3 / 4 - 200))),
+          listener_(loop_, parcel::endpointOf(satchel.frontAddress), [this](auto stream) { client(std::move(stream)); }),
+          ready_(loop_, parcel::endpointOf(satchel.readyAddress), 4096,
+                 [this](std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
+                        const std::string&) {
+                     const bool place = path.size() == 1 && path[0] == "ready";
+                     ready_.answer(call, !place ? 404 : method != "GET" ? 405 : pooler_.ready() ? 200 : 503, "");
+                 }) {}
+
+    int run() {
+        listen();
+        dial();
+        tick();
+        loop_.run();
+        return 0;
+    }
+
+private:
+    void listen() {
+        signals_.async_wait([this](boost::system::error_code ec, int signal) {
+            if (ec) return;
+            if (signal == SIGHUP) {
+                try {
+                    satchel::read(settingsPath_);
+                } catch (const satchel::Unusable& fault) {
+                    spdlog::warn("settings kept as they were: {}", fault.what());
+                }
+            } else {
+                spdlog::info("leaving: {} sessions", pooler_.sessions());
+                endAt_ = steadyNow() + millis(satchel_.grace_ms - 300);
+                leftAt_ = steadyNow();
+                pooler_.leave(steadyNow());
+                carryOut();
+            }
+            listen();
+        });
+    }
+
+    void tick() {
+        const Nanos now = steadyNow();
+        pooler_.tick(now);
+        carryOut();
+        if (now - countedAt_ >= countsEvery) {
+            countedAt_ = now;
+            const Counts& c = pooler_.counts();
+            spdlog::info(
+                "counts sessions={} open={} lines={} statements={} tx={} answered={} promised={} indoubt={} opened={} "
+                "own={} guarded={} lagging={}",
+                c.sessions, pooler_.sessions(), pooler_.lines(), c.statements, c.transactions, c.answered, c.promised,
+                c.indoubt, c.opened, c.own, c.guarded, c.lagging);
+        }
+        // New connections come for as long as the platform has not seen that this front leaves.
+        if (endAt_ && (now >= endAt_ || (now - leftAt_ > millis(2600) && pooler_.over()))) {
+            spdlog::info("left");
+            return loop_.stop();
+        }
+        ticker_.expires_after(std::chrono::milliseconds(20));
+        ticker_.async_wait([this](boost::system::error_code ec) {
+            if (!ec) tick();
+        });
+    }
+
+    // To the agent on this machine, over loopback, again and again until it is there.
+    void dial() {
+        auto made = std::make_shared<std::shared_ptr<Stream>>();
+        auto again = [this] {
+            courier_.reset();
+            pooler_.courierDown();
+            redial_.expires_after(std::chrono::milliseconds(100));
+            redial_.async_wait([this](boost::system::error_code ec) {
+                if (!ec) dial();
+            });
+        };
+        const parcel::tcp::endpoint where{asio::ip::make_address_v4("127.0.0.1"),
+                                          static_cast<unsigned short>(satchel_.firstPort + 1)};
+        *made = Stream::to(loop_, where, 1000, [this, made, again] {
+            courier_ = std::make_shared<parcel::Link>(*made);
+            made->reset();
+            courier_->start(
+                [this](const nlohmann::json& message) {
+                    pooler_.courierSaid(message, steadyNow());
+                    carryOut();
+                },
+                again);
+            pooler_.courierUp(steadyNow());
+            carryOut();
+        });
+        (*made)->start([](std::string_view) { return std::size_t(0); }, [again](bool) { again(); });
+    }
+
+    void client(std::shared_ptr<Stream> stream) {
+        if (clients_.size() >= clientsMost_) {
+            stream->start([](std::string_view all) { return all.size(); }, [](bool) {});
+            stream->send(errorLine(Error::busy, "too many sessions; come back in 500 ms"));
+            return stream->finish();
+        }
+        const int no = ++lastClient_;
+        clients_[no] = stream;
+        pooler_.clientCame(no, steadyNow());
+        stream->start(
+            [this, no](std::string_view all) {
+                const Nanos now = steadyNow();
+                std::size_t used = 0;
+                for (std::size_t cut; (cut = all.find("\r\n", used)) != all.npos; used = cut + 2)
+                    if (cut - used > longestMessage)
+                        pooler_.clientSaid(no, "", now);
+                    else
+                        pooler_.clientSaid(no, all.substr(used, cut - used), now);
+                if (all.size() - used > longestMessage) {
+                    pooler_.clientSaid(no, "", now);  // no such message: it is told so and let go
+                    used = all.size();
+                }
+                carryOut();
+                return used;
+            },
+            [this, no](bool) {
+                clients_.erase(no);
+                pooler_.clientLeft(no, steadyNow());
+                carryOut();
+            });
+    }
+
+    void carryOut() {
+        for (auto outputs = pooler_.take(); !outputs.empty(); outputs = pooler_.take())
+            for (Output& output : outputs) std::visit([this](auto& each) { carry(each); }, output);
+    }
+    void carry(ToClient& out) {
+        const auto at = clients_.find(out.client);
+        if (at == clients_.end()) return;
+        at->second->send(out.bytes);
+        if (at->second->unsent() > unsentMost) {
+            const auto slow = at->second;
+            clients_.erase(at);
+            slow->close();
+            pooler_.clientLeft(out.client, steadyNow());
+        }
+    }
+    void carry(EndClient& out) {
+        const auto at = clients_.find(out.client);
+        if (at == clients_.end()) return;
+        at->second->finish();
+        clients_.erase(at);
+    }
+    void carry(HoldClient& out) {
+        const auto at = clients_.find(out.client);
+        if (at != clients_.end()) at->second->hold(out.on);
+    }
+    void carry(OpenLine& out) {
+        const int no = out.line;
+        auto stream = Stream::to(loop_, parcel::endpointOf(out.address), 2000, [this, no] {
+            pooler_.lineOpened(no, steadyNow());
+            carryOut();
+        });
+        lines_[no] = stream;
+        stream->start(
+            [this, no](std::string_view all) {
+                const Nanos now = steadyNow();
+                std::size_t used = 0;
+                for (std::size_t cut; (cut = all.find("\r\n", used)) != all.npos; used = cut + 2)
+                    pooler_.lineSaid(no, all.substr(used, cut - used), now);
+                carryOut();
+                return used;
+            },
+            [this, no](bool refused) {
+                lines_.erase(no);
+                pooler_.lineEnded(no, refused, steadyNow());
+                carryOut();
+            });
+    }
+    void carry(ToLine& out) {
+        const auto at = lines_.find(out.line);
+        if (at != lines_.end()) at->second->send(out.bytes);
+    }
+    void carry(CloseLine& out) {
+        const auto at = lines_.find(out.line);
+        if (at == lines_.end()) return;
+        at->second->close();
+        lines_.erase(at);
+    }
+    void carry(ToCourier& out) {
+        if (courier_) courier_->send(out.message);
+    }
+    void carry(ToLog& out) { spdlog::info("{}", out.text); }
+
+    const satchel::Satchel satchel_;
+    const std::string settingsPath_;
+    asio::io_context loop_;
+    Pooler pooler_;
+    asio::steady_timer ticker_, redial_{loop_};
+    asio::signal_set signals_;
+    std::shared_ptr<parcel::Link> courier_;
+    std::unordered_map<int, std::shared_ptr<Stream>> clients_, lines_;
+    std::size_t clientsMost_;
+    int lastClient_ = 0;
+    Nanos endAt_ = 0, leftAt_ = 0, countedAt_ = steadyNow();
+    parcel::Listener listener_;
+    parcel::HttpServer ready_;
+};
+}  // namespace
+
+int serve(const satchel::Satchel& satchel, const std::string& settingsPath) {
+    if (satchel.frontAddress.empty() || satchel.readyAddress.empty())
+        throw satchel::Unusable("the proxy needs 'listen_on.front_addr' and 'listen_on.ready_addr'");
+    return Program(satchel, settingsPath).run();
+}
+
+}  // namespace granitereel::counter
--- /dev/null
+++ b/src/courier/courier.cpp
@@ -0,0 +1,123 @@
+#include "courier/courier.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace granitereel::courier {
+
+namespace {
+// Three questions fit into a lease, so that one lost answer does not end it.
+constexpr Nanos askEvery = millis(200);
+// A parent that says nothing for so long is taken for cut off.
+constexpr Nanos silentFor = millis(1500);
+
+std::uint64_t weight(const std::string& who, const std::string& what) {
+    const std::string both = who + '\n' + what;
+    return XXH64(both.data(), both.size(), 0);
+}
+std::string ipOf(const std::string& address) {
+    return address.substr(0, address.rfind(':'));
+}
+}  // namespace
+
+Courier::Courier(const satchel::Satchel& satchel, Nanos)
+    : satchel_(satchel),
+      gossip_([this](int link, Json message) { said_.push_back({link, std::move(message)}); },
+              [](const std::string&, const board::Record&) {}) {
+    gossip_.own("front/" + satchel_.station, {{"district", satchel_.district}, {"ip", satchel_.ip}});
+}
+
+std::vector<std::string> Courier::parents() const {
+    std::vector<std::pair<std::string, std::string>> members, couriers;  // address, name
+    std::vector<std::pair<std::string, std::string>> far;
+    board().under("member/", [&](const std::string& name, const board::Record& r) {
+        if (!r.body.is_object()) return;
+        (r.body.value("district", "") == satchel_.district ? members : far).emplace_back(r.body.value("ip", ""), name);
+    });
+    if (members.empty())
+        board().under("front/", [&](const std::string& name, const board::Record& r) {
+            if (r.body.is_object() && r.body.value("district", "") == satchel_.district)
+                couriers.emplace_back(r.body.value("ip", ""), name);
+        });
+    auto order = [&](auto& some, const std::string& by) {
+        std::sort(some.begin(), some.end(),
+                  [&](auto& a, auto& b) { return weight(a.second, by) > weight(b.second, by); });
+    };
+    order(members, satchel_.station);
+    order(far, satchel_.station);
+    order(couriers, satchel_.district);  // all of a district agree on who passes on
+    std::vector<std::string> all;
+    for (auto& [ip, name] : members) all.push_back(ip);
+    for (auto& [ip, name] : couriers) {
+        if (ip == satchel_.ip) break;  // those behind hang on this one, or on one before
+        all.push_back(ip);
+    }
+    for (auto& [ip, name] : far) all.push_back(ip);
+    for (const std::string& seed : satchel_.seeds)
+        if (std::find(all.begin(), all.end(), ipOf(seed)) == all.end()) all.push_back(ipOf(seed));
+    return all;
+}
+
+bool Courier::betterParent() const {
+    const auto all = parents();
+    return up_ != 0 && !all.empty() && all.front() != upAddress_;
+}
+
+void Courier::upward(int link, const std::string& address, Nanos now) {
+    if (up_ != 0) gossip_.leave(up_);
+    up_ = link;
+    upAddress_ = address;
+    asks_.clear();
+    askedAt_ = 0;
+    heardAt_ = now;
+    if (link == 0) return;
+    said_.push_back({link, {{"k", "hello"}, {"kind", "front"}, {"station", satchel_.station}}});
+    gossip_.join(link);
+}
+
+void Courier::linkUp(int link, Nanos) {
+    below_.insert(link);
+    gossip_.join(link);
+}
+
+void Courier::linkDown(int link) {
+    below_.erase(link);
+    gossip_.leave(link);
+}
+
+void Courier::heard(int link, const Json& message, Nanos now) {
+    const std::string kind = message.at("k");
+    if (link == up_) heardAt_ = now;
+    if (kind == "news") {
+        gossip_.heard(link, message);
+    } else if (kind == "lease" && link == up_) {
+        const auto asked = asks_.find(message.at("t").get<std::uint64_t>());
+        if (asked == asks_.end()) return;
+        // Counted from when it was asked for, which is before it was given.
+        const Nanos left = message.at("left").get<std::int64_t>() * 1000;
+        if (left > 0) leaseUntil_ = std::max(leaseUntil_, asked->second + left);
+        asks_.erase(asks_.begin(), std::next(asked));
+        cautions_ = message.at("c");
+    } else if (kind == "lease?") {
+        said_.push_back({link,
+                         {{"k", "lease"},
+                          {"t", message.at("t")},
+                          {"left", std::max<Nanos>(0, (leaseUntil_ - now) / 1000)},
+                          {"c", cautions_}}});
+    } else if (kind == "suspect") {
+        if (up_ != 0) said_.push_back({up_, message});
+    }
+}
+
+void Courier::tick(Nanos now) {
+    if (up_ != 0 && now - askedAt_ >= askEvery) {
+        askedAt_ = now;
+        asks_[++asked_] = now;
+        if (asks_.size() > 8) asks_.erase(asks_.begin());
+        said_.push_back({up_, {{"k", "lease?"}, {"t", asked_}}});
+    }
+    if (up_ != 0 && now - heardAt_ > silentFor) upAddress_ = "silent";
+}
+
+}  // namespace granitereel::courier
--- /dev/null
+++ b/src/courier/courier.hpp
@@ -0,0 +1,54 @@
+// The agent beside a proxy: it holds one link towards control, keeps the board alike, carries the lease on what is
+// known of leads, and feeds the proxy over loopback. Couriers form the tree by which news goes down: in a district
+// without a member of control, one of them holds the link and the others hang on it. Free of I/O, clocks and chance.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "board/gossip.hpp"
+#include "nanos.hpp"
+#include "satchel/satchel.hpp"
+
+namespace granitereel::courier {
+
+using Json = nlohmann::json;
+
+class Courier {
+public:
+    struct Said {
+        int link = 0;
+        Json message;
+    };
+    Courier(const satchel::Satchel& satchel, Nanos now);
+
+    // Where the link upwards is to be sought now, best first: addresses of members, or of couriers that pass on.
+    std::vector<std::string> parents() const;
+    // The upward link is that of `address`; 0 as `link`: it is lost.
+    void upward(int link, const std::string& address, Nanos now);
+    // Whether a better parent than the present one is known, so that the link ought to be moved.
+    bool betterParent() const;
+    void linkUp(int link, Nanos now);  // a courier below, or the proxy
+    void linkDown(int link);
+    void heard(int link, const Json& message, Nanos now);
+    void tick(Nanos now);
+    std::vector<Said> take() { return std::exchange(said_, {}); }
+    const board::Board& board() const { return gossip_.board(); }
+    Nanos leaseUntil() const { return leaseUntil_; }
+
+private:
+    const satchel::Satchel satchel_;
+    std::vector<Said> said_;
+    board::Gossip gossip_;
+    int up_ = 0;
+    std::string upAddress_;
+    std::set<int> below_;
+    std::uint64_t asked_ = 0;
+    std::map<std::uint64_t, Nanos> asks_;
+    Nanos askedAt_ = 0, heardAt_ = 0, leaseUntil_ = 0;
+    Json cautions_ = Json::object();
+};
+
+}  // namespace granitereel::courier
--- /dev/null
+++ b/src/courier/program.cpp
@@ -0,0 +1,145 @@
+#include "courier/program.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "courier/courier.hpp"
+#include "parcel/link.hpp"
+#include "parcel/steady.hpp"
+
+namespace granitereel::courier {
+
+namespace {
+namespace asio = boost::asio;
+using parcel::Link;
+
+class Program {
+public:
+    Program(const satchel::Satchel& satchel, const std::string& settingsPath)
+        : satchel_(satchel),
+          settingsPath_(settingsPath),
+          loop_(1),
+          courier_(satchel, parcel::steadyNow()),
+          ticker_(loop_),
+          signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+          forCouriers_(loop_, at(satchel.ip, satchel.firstPort), [this](auto stream) { below(std::move(stream)); }),
+          forProxy_(loop_, at("127.0.0.1", satchel.firstPort + 1), [this](auto stream) { below(std::move(stream)); }) {}
+
+    int run() {
+        listen();
+        tick();
+        loop_.run();
+        return 0;
+    }
+
+private:
+    static parcel::tcp::endpoint at(const std::string& ip, int port) {
+        return {asio::ip::make_address_v4(ip), static_cast<unsigned short>(port)};
+    }
+    void listen() {
+        signals_.async_wait([this](boost::system::error_code ec, int signal) {
+            if (ec) return;
+            if (signal != SIGHUP) {
+                // The proxy beside it ends by the same signal and still needs the news: it leaves first.
+                ending_ = parcel::steadyNow();
+                return;
+            }
+            try {
+                satchel::read(settingsPath_);
+            } catch (const satchel::Unusable& fault) {
+                spdlog::warn("settings kept as they were: {}", fault.what());
+            }
+            listen();
+        });
+    }
+    void tick() {
+        const Nanos now = parcel::steadyNow();
+        if (ending_ && now - ending_ > millis(satchel_.grace_ms - 200)) return loop_.stop();
+        if (up_ && courier_.betterParent() && now - upAt_ > millis(500)) {
+            lost();
+        }
+        if (!up_ && !dialling_ && now >= dialAt_) dial(now);
+        courier_.tick(now);
+        carryOut();
+        ticker_.expires_after(std::chrono::milliseconds(100));
+        ticker_.async_wait([this](boost::system::error_code ec) {
+            if (!ec) tick();
+        });
+    }
+    void dial(Nanos now) {
+        const auto parents = courier_.parents();
+        if (parents.empty()) return;
+        // One after the other, from the best on after each success.
+        const std::string where = parents[tries_++ % parents.size()];
+        dialling_ = true;
+        dialAt_ = now + millis(100);
+        auto made = std::make_shared<std::shared_ptr<parcel::Stream>>();
+        *made = parcel::Stream::to(loop_, at(where, satchel_.firstPort), 1000, [this, made, where] {
+            dialling_ = false;
+            tries_ = 0;
+            const auto stream = *made;
+            made->reset();
+            up_ = ++lastLink_;
+            upAt_ = parcel::steadyNow();
+            auto link = std::make_shared<Link>(stream);
+            links_[up_] = link;
+            start(up_, *link);
+            courier_.upward(up_, where, upAt_);
+            spdlog::info("news comes from {}", where);
+            carryOut();
+        });
+        (*made)->start([](std::string_view) { return std::size_t(0); }, [this](bool) { dialling_ = false; });
+    }
+    void below(std::shared_ptr<parcel::Stream> stream) {
+        const int no = ++lastLink_;
+        links_[no] = std::make_shared<Link>(std::move(stream));
+        start(no, *links_[no]);
+        courier_.linkUp(no, parcel::steadyNow());
+        carryOut();
+    }
+    void start(int no, Link& link) {
+        link.start(
+            [this, no](const nlohmann::json& message) {
+                courier_.heard(no, message, parcel::steadyNow());
+                carryOut();
+            },
+            [this, no] {
+                if (no == up_) return lost();
+                links_.erase(no);
+                courier_.linkDown(no);
+            });
+    }
+    void lost() {
+        links_.erase(up_);
+        up_ = 0;
+        courier_.upward(0, "", parcel::steadyNow());
+    }
+    void carryOut() {
+        for (auto said = courier_.take(); !said.empty(); said = courier_.take())
+            for (auto& [no, message] : said) {
+                const auto at = links_.find(no);
+                if (at != links_.end()) at->second->send(message);
+            }
+    }
+
+    const satchel::Satchel satchel_;
+    const std::string settingsPath_;
+    asio::io_context loop_;
+    Courier courier_;
+    asio::steady_timer ticker_;
+    asio::signal_set signals_;
+    std::map<int, std::shared_ptr<Link>> links_;
+    int lastLink_ = 0, up_ = 0;
+    std::size_t tries_ = 0;
+    bool dialling_ = false;
+    Nanos dialAt_ = 0, upAt_ = 0, ending_ = 0;
+    parcel::Listener forCouriers_, forProxy_;
+};
+}  // namespace
+
+int serve(const satchel::Satchel& satchel, const std::string& settingsPath) {
+    return Program(satchel, settingsPath).run();
+}
+
+}  // namespace granitereel::courier
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -39,6 +39,12 @@
     // The list is asked again after 0.7 of the time in which silence counts as having been told; where none
     // is stated, of ten seconds, as a list that comes by itself is seldom later.
     askEvery_ = (charter.askWithin > 0 ? charter.askWithin : millis(10'000)) * 7 / 10;
+    weighLanes();
+    askAt_ = now_;
+    out_.wake(now_, 0);
+}
+
+void Front::weighLanes() {
     // Premium covers the read lanes of the highest worth (step 2 of the design): the gain for each second of
     // goal time, as a lane that may take long can do with what the others leave.
     auto worth = [](const Lane& lane) { return lane.gain / double(std::max<Nanos>(lane.goalTime, 1)); };
@@ -58,8 +64,16 @@
     firstTrial_ = beat_ * 25 / 2;
     // Half the tightest bound; without a bounded lane, a quarter of a second for the sessions' sake.
     probeAge_ = bound > 0 ? bound / 2 : millis(250);
-    askAt_ = now_;
-    out_.wake(now_, 0);
+}
+
+int Front::lane(const Lane& lane) {
+    for (std::size_t i = 0; i < lanes_.size(); ++i)
+        if (lanes_[i].name == lane.name) return static_cast<int>(i);
+    lanes_.push_back(lane);
+    laneTime_.emplace_back();
+    usualPatience_.emplace_back();
+    weighLanes();
+    return static_cast<int>(lanes_.size()) - 1;
 }
 
 // Windows that have been learnt go on from where they are.
@@ -167,6 +181,16 @@
     group.redeal = true;
 }
 
+void Front::leads(int groupNo, const std::string& id) {
+    Group& group = groups_[groupNo];
+    Store* store = find(id);
+    for (Store* member : group.members) {
+        member->role = member == store ? Role::primary : Role::replica;
+        member->toldReplica = member != store;
+    }
+    setPrimary(group, store && store->standing == Standing::up ? store : nullptr);
+}
+
 void Front::seekPrimary(Group& group) {
     if (!probeTellsRole_ || group.members.empty()) return;
     if (now_ - group.seekersAt >= 10 * beat_) {
@@ -759,7 +783,7 @@
 void Front::launch(Transaction& t, Store& store) {
     if (!mayLaunch(t, store)) return finish(t);
     const Lane& lane = lanes_[t.lane];
-    store.out.push_back({t.id, t.launches++, t.lane, now_, false});
+    store.out.push_back({t.id, t.launches++, t.lane, now_, false, false, tierOf(lane)});
     watch(store);
     ++t.out;
     ++t.arrivedThere;
@@ -794,7 +818,7 @@
     // A spoilt answer tells no less that the store is there and works: any store may give one.
     if (how <= Ending::missed) hear(*store, how != Ending::full);
     store->out.erase(launch);
-    --store->load[tierOf(lanes_[done.lane])];
+    --store->load[done.tier];
     // A launch that began at a primary says so even if the role was lost while it ran: it speaks for the time
     // of its sending. Else a primary that hands over seems to lose and win the role with each answer.
     if (role != Role::unknown) tellRole(*store, role, role == Role::primary ? done.sent : now_, true);
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -135,6 +135,7 @@
     int number = 0, lane = 0;
     Nanos sent = 0;
     bool cancelled = false, judged = false;
+    int tier = 0;  // as it was counted in its store's load
 };
 
 struct Store {
@@ -228,6 +229,11 @@
     void reported(const std::string& store, std::optional<Nanos> position, std::optional<bool> primary);
     void probed(const std::string& store, Ending how);
     void woke(std::int64_t) { round(); }
+    // The number of a kind of transaction that was not known at the start, or of one laid down alike before.
+    int lane(const Lane& lane);
+    // Who a group's primary is, from those who decide it; an empty id: nobody now. Where this is told, it goes
+    // before whatever answers say.
+    void leads(int group, const std::string& store);
     // Among how many fronts this one counts itself from now on; at the start, as many as the charter says.
     void present(int fronts);
     // Others miss a group's primary, and it is this front's part to look for it.
@@ -253,6 +259,7 @@
     friend struct Bench;  // the tests build state directly
 
     // list and roles
+    void weighLanes();
     void tendList();
     void standDown(Store& store, Standing standing);
     void tellRole(Store& store, Role role, Nanos asOf, bool byAnswer);
--- /dev/null
+++ b/src/sorting/office.cpp
@@ -0,0 +1,455 @@
+#include "sorting/office.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace granitereel::sorting {
+
+namespace {
+// Rounds of the lease: three fit into one, so that one lost message does not end it.
+constexpr Nanos roundEvery = millis(200);
+// A change that has no majority by then is answered as failed, within the time that an operator's call waits.
+constexpr Nanos changeWithin = millis(900);
+// A member whose link is down for longer counts as away when duties are dealt out.
+constexpr Nanos awayAfter = millis(600);
+// What an earlier life of a member with an empty disk may have said is no longer under way after this.
+constexpr Nanos forgottenAfter = changeWithin + millis(300);
+
+// Rendezvous hashing (Thaler and Ravishankar, 1998): the highest of all members' values for a name has it.
+std::uint64_t weight(const std::string& member, const std::string& name) {
+    const std::string both = member + '\n' + name;
+    return XXH64(both.data(), both.size(), 0);
+}
+}  // namespace
+
+Office::Office(const satchel::Satchel& satchel, std::string incarnation, const std::map<std::string, Json>& disk,
+               Nanos now)
+    : satchel_(satchel),
+      self_(satchel.controlAddress),
+      incarnation_(std::move(incarnation)),
+      gossip_([this](int link, Json message) { send(link, std::move(message)); },
+              [this](const std::string& name, const board::Record& record) { news(name, record); }),
+      proposer_(self_),
+      startedAt_(now) {
+    for (const auto& [name, body] : disk) {
+        if (name == "core") {
+            voters(body.at("voters").get<std::set<std::string>>());
+            recovering_ = body.value("recovering", false);
+        }
+        if (name.starts_with("slot/")) acceptor_.load(name.substr(5), readSlot(body));
+    }
+    if (!founded_ && satchel_.firstBoot) {
+        // All processes get the same seeds at the first start: they found the core, each by itself and alike.
+        voters({satchel_.seeds.begin(), satchel_.seeds.end()});
+        outputs_.push_back(ToDisk{"core", {{"voters", voters_}}});
+        outputs_.push_back(ToLog{"founding the core with " + std::to_string(voters_.size()) + " voters"});
+    } else if (!founded_) {
+        outputs_.push_back(ToLog{"no state on disk: asking the core for it"});
+    }
+    recovery_.notBefore = now + forgottenAfter;
+}
+
+void Office::voters(std::set<std::string> voters) {
+    voters_ = std::move(voters);
+    founded_ = true;
+    proposer_.voters(voters_);
+}
+
+std::set<std::string> Office::toDial() const {
+    std::set<std::string> members = voters_;
+    if (!founded_) members.insert(satchel_.seeds.begin(), satchel_.seeds.end());
+    members.erase(self_);
+    return members;
+}
+
+int Office::linkTo(const std::string& member) const {
+    for (const auto& [link, peer] : peers_)
+        if (peer.dialled == member) return link;
+    return 0;
+}
+
+void Office::linkUp(int link, const std::string& dialled, Nanos) {
+    peers_[link].dialled = dialled;
+    if (dialled.empty()) return;  // who comes speaks first
+    send(link, {{"k", "hello"},
+                {"kind", "member"},
+                {"member", self_},
+                {"station", satchel_.station},
+                {"incarnation", incarnation_}});
+    gossip_.join(link);
+}
+
+void Office::linkDown(int link, Nanos now) {
+    const auto at = peers_.find(link);
+    if (at == peers_.end()) return;
+    if (!at->second.dialled.empty()) memberHeard_[at->second.dialled] = now;
+    peers_.erase(at);
+    gossip_.leave(link);
+}
+
+void Office::news(const std::string& name, const board::Record& record) {
+    if (name.starts_with("lead/")) {
+        const auto at = cautions_.find(name.substr(5));
+        if (at != cautions_.end() && record.version.major >= at->second) cautions_.erase(at);
+    }
+    if (name == "config") waybill_ = waybill::read(record.body);
+}
+
+// A register's value that is known to stand becomes a record for all.
+void Office::learn(const std::string& name, const Json& value) {
+    if (value.is_null()) return;
+    if (name == "config")
+        gossip_.put(name, {{value.at("edition").get<std::uint64_t>(), 0}, value});
+    else if (name.starts_with("lead/"))
+        gossip_.put(name, {{value.at("seq").get<std::uint64_t>(), 0}, value});
+}
+
+void Office::heard(int link, const Json& message, Nanos now) {
+    const auto found = peers_.find(link);
+    if (found == peers_.end()) return;
+    Peer& peer = found->second;
+    const std::string kind = message.at("k");
+    if (!peer.dialled.empty()) memberHeard_[peer.dialled] = now;
+    if (kind == "hello") {
+        peer.kind = message.at("kind");
+        peer.station = message.value("station", "");
+        peer.member = message.value("member", "");
+        if (peer.kind == "member") {
+            std::string& known = incarnations_[peer.member];
+            const std::string told = message.at("incarnation");
+            if (!known.empty() && known != told) proposer_.forgets(peer.member);
+            known = told;
+        }
+        if (peer.dialled.empty()) {
+            send(link, {{"k", "hello"},
+                        {"kind", "member"},
+                        {"member", self_},
+                        {"station", satchel_.station},
+                        {"district", satchel_.district},
+                        {"incarnation", incarnation_},
+                        {"voters", founded_ ? Json(voters_) : Json()}});
+            gossip_.join(link);
+        } else if (!founded_ && message.contains("voters") && message["voters"].is_array()) {
+            voters(message["voters"].get<std::set<std::string>>());
+            recovering_ = voters_.count(self_) > 0;
+            outputs_.push_back(ToDisk{"core", {{"voters", voters_}, {"recovering", recovering_}}});
+            outputs_.push_back(ToLog{recovering_ ? "the disk was lost: reading the core's state before voting"
+                                                 : "joined the core without a vote"});
+        }
+    } else if (kind == "news") {
+        gossip_.heard(link, message);
+    } else if (kind == "prepare" || kind == "accept") {
+        vote(link, message);
+    } else if (kind == "promised" || kind == "accepted" || kind == "refused") {
+        proposer_.heard(peer.dialled, message, now);
+        flushProposer(now);
+    } else if (kind == "round") {
+        if (votes()) send(link, {{"k", "roundok"}, {"t", message.at("t")}, {"c", cautions()}});
+    } else if (kind == "roundok") {
+        const auto at = roundsOut_.find(message.at("t").get<std::uint64_t>());
+        for (const auto& [service, seq] : message.at("c").items()) caution(service, seq.get<std::uint64_t>());
+        if (at == roundsOut_.end() || !voters_.count(peer.dialled)) return;
+        auto& [sent, from] = at->second;
+        from.insert(peer.dialled);
+        if (from.size() >= voters_.size() / 2 + 1) leaseUntil_ = std::max(leaseUntil_, sent + leaseTime);
+    } else if (kind == "lease?") {
+        const Nanos left = leaseUntil_ - now;
+        send(link, {{"k", "lease"}, {"t", message.at("t")}, {"left", std::max<Nanos>(0, left / 1000)}, {"c", cautions()}});
+    } else if (kind == "suspect") {
+        suspected(message, now);
+    } else if (kind == "dump?") {
+        if (!votes()) return;
+        Json slots = Json::object();
+        for (const auto& [name, slot] : acceptor_.all()) slots[name] = written(slot);
+        send(link, {{"k", "dump"}, {"slots", std::move(slots)}});
+    } else if (kind == "dump" && recovering_) {
+        for (const auto& [name, slot] : message.at("slots").items())
+            if (acceptor_.merge(name, readSlot(slot))) outputs_.push_back(ToDisk{"slot/" + name, written(acceptor_.at(name))});
+        recovery_.from.insert(peer.dialled);
+        if (recovery_.from.size() >= voters_.size() / 2 + 1 && now >= recovery_.notBefore) {
+            recovering_ = false;
+            outputs_.push_back(ToDisk{"core", {{"voters", voters_}}});
+            outputs_.push_back(ToLog{"the core's state is read; votes again"});
+        }
+    }
+}
+
+void Office::vote(int link, const Json& message) {
+    if (!votes()) return;
+    const std::string name = message.at("n");
+    const Ballot ballot{message.at("r"), message.at("b")};
+    Json reply{{"n", name}, {"t", message.at("t")}};
+    bool taken;
+    const bool accepting = message.at("k") == "accept";
+    const Slot before = acceptor_.at(name);
+    if (accepting) {
+        taken = acceptor_.accept(name, ballot, message.at("v"));
+        if (taken && name.starts_with("lead/")) caution(name.substr(5), message["v"].at("seq"));
+    } else {
+        taken = acceptor_.promise(name, ballot);
+    }
+    const Slot& slot = acceptor_.at(name);
+    if (taken) {
+        if (slot.promised != before.promised || accepting) outputs_.push_back(ToDisk{"slot/" + name, written(slot)});
+        reply["k"] = accepting ? "accepted" : "promised";
+        reply["r"] = ballot.round;
+        reply["b"] = ballot.by;
+        reply["ar"] = slot.accepted.round;
+        reply["ab"] = slot.accepted.by;
+        if (!accepting) reply["av"] = slot.value;
+    } else {
+        reply["k"] = "refused";
+        reply["r"] = slot.promised.round;
+        reply["b"] = slot.promised.by;
+    }
+    if (link != 0)
+        send(link, std::move(reply));
+    else
+        proposer_.heard(self_, reply, 0);
+}
+
+// What proposers of this member say goes to its own vote directly.
+void Office::flushProposer(Nanos now) {
+    for (auto said = proposer_.takeSaid(); !said.empty(); said = proposer_.takeSaid())
+        for (auto& [to, message] : said) {
+            if (to == self_) {
+                vote(0, message);
+            } else if (const int link = linkTo(to)) {
+                send(link, std::move(message));
+            }
+        }
+    (void)now;
+}
+
+void Office::caution(const std::string& service, std::uint64_t seq) {
+    const board::Record* record = board().find("lead/" + service);
+    if (record && record->version.major >= seq) return;
+    std::uint64_t& known = cautions_[service];
+    known = std::max(known, seq);
+}
+
+Json Office::cautions() const {
+    return Json(cautions_).is_null() ? Json::object() : Json(cautions_);
+}
+
+void Office::rounds(Nanos now) {
+    if (!founded_ || now - roundAt_ < roundEvery) return;
+    roundAt_ = now;
+    const std::uint64_t no = ++round_;
+    roundsOut_.erase(roundsOut_.begin(), roundsOut_.lower_bound(no > 8 ? no - 8 : 0));
+    auto& out = roundsOut_[no];
+    out.first = now;
+    if (votes()) out.second.insert(self_);
+    if (out.second.size() >= voters_.size() / 2 + 1) leaseUntil_ = std::max(leaseUntil_, now + leaseTime);
+    for (const std::string& voter : voters_)
+        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, {{"k", "round"}, {"t", no}});
+}
+
+std::uint64_t Office::nextAsk(Succession& asker) {
+    asks_[nextAsk_] = &asker;
+    return nextAsk_++;
+}
+
+void Office::change(const std::string& service, std::uint64_t ifSeq, Lead to,
+                    std::function<void(std::optional<Lead>)> done) {
+    const std::string name = "lead/" + service;
+    const Json wanted = written(to);
+    proposer_.begin({name,
+                     [ifSeq, wanted](const Json& was) {
+                         const std::uint64_t seq = was.is_object() ? was.at("seq").get<std::uint64_t>() : 0;
+                         return seq == ifSeq ? wanted : was;
+                     },
+                     [this, name, wanted, done = std::move(done)](std::optional<Json> stands) {
+                         if (stands) learn(name, *stands);
+                         done(stands && *stands == wanted ? readLead(*stands) : std::nullopt);
+                     }},
+                    roundAt_, roundAt_ + changeWithin);
+    flushProposer(roundAt_);
+}
+
+int Office::syncReplicas(const std::string& service) const {
+    const waybill::Service* known = waybill_.service(service);
+    return known ? known->syncReplicas : 1;  // not known yet: as if it had some
+}
+
+void Office::call(std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
+                  const std::string& body, Nanos now) {
+    const std::string place = path.empty() ? "" : path[0];
+    const std::string what = method + " " + place + (path.size() > 1 ? "/ID" : "");
+    if (path.size() <= 2) {
+        if (what == "PUT stores/ID") return storeCalled(call, path[1], body, now);
+        if (what == "DELETE stores/ID") return storeLeft(call, path[1]);
+        if (what == "PUT config") return configSent(call, body, now);
+        if (what == "GET config") return configAsked(call, now);
+        if (what == "GET state") return answer(call, Kind::taken, state(now).dump());
+    }
+    const bool known = place == "config" || place == "stores" || place == "state";
+    answer(call, known ? Kind::notAllowed : Kind::notFound);
+}
+
+void Office::storeCalled(std::uint64_t call, const std::string& id, const std::string& body, Nanos) {
+    Json told, now;
+    std::uint64_t seq = 0;
+    try {
+        told = Json::parse(body);
+        now = {{"service", told.at("depot")},
+               {"address", told.at("address")},
+               {"district", told.value("district", "")},
+               {"berths", told.value("berths", 0)},
+               {"standing", told.value("standing", "accepting")},
+               {"role", told.value("db_role", "")}};
+        seq = told.value("call_seq", std::uint64_t(0));
+    } catch (const Json::exception&) {
+        return answer(call, Kind::notSound, R"({"fault":"not a store's call"})");
+    }
+    const std::string name = "store/" + id;
+    const board::Record* known = board().find(name);
+    // A call that was overtaken is acknowledged and changes nothing; one that left does not come back by it.
+    const bool late = known && seq <= known->version.minor;
+    if (!late && (!known || known->body != now)) {
+        const std::uint64_t major = known ? known->version.major + 1 : 1;
+        gossip_.put(name, {{major, seq}, now});
+    }
+    answer(call, Kind::taken, "{}");
+}
+
+void Office::storeLeft(std::uint64_t call, const std::string& id) {
+    const std::string name = "store/" + id;
+    const board::Record* known = board().find(name);
+    if (known && !known->body.is_null())
+        gossip_.put(name, {{known->version.major + 1, known->version.minor + 1'000'000}, nullptr});
+    answer(call, Kind::taken, "{}");
+}
+
+void Office::configSent(std::uint64_t call, const std::string& body, Nanos now) {
+    Json sent;
+    try {
+        waybill::read(body);
+        sent = Json::parse(body);
+    } catch (const waybill::Invalid& fault) {
+        return answer(call, Kind::notSound, Json{{"fault", fault.what()}}.dump());
+    }
+    if (!founded_) return answer(call, Kind::unready);
+    proposer_.begin({"config",
+                     [sent](const Json& was) {
+                         if (was.is_object() && was.at("edition") >= sent.at("edition")) return was;
+                         return sent;
+                     },
+                     [this, call](std::optional<Json> stands) {
+                         if (!stands) return answer(call, Kind::noMajority);
+                         learn("config", *stands);
+                         answer(call, Kind::taken, "{}");
+                     }},
+                    now, now + changeWithin);
+    flushProposer(now);
+}
+
+void Office::configAsked(std::uint64_t call, Nanos now) {
+    if (!founded_) return answer(call, Kind::unready);
+    proposer_.begin({"config", [](const Json& was) { return was; },
+                     [this, call](std::optional<Json> stands) {
+                         if (!stands) return answer(call, Kind::noMajority);
+                         if (stands->is_null()) return answer(call, Kind::notFound);
+                         learn("config", *stands);
+                         answer(call, Kind::taken, stands->dump());
+                     }},
+                    now, now + changeWithin);
+    flushProposer(now);
+}
+
+void Office::suspected(const Json& message, Nanos now) {
+    const std::string service = message.at("service");
+    const auto at = successions_.find(service);
+    if (at != successions_.end()) at->second->suspected(message.at("store"), now);
+    // The member that owns the duty may be another; it is told once.
+    if (message.value("passed", false)) return;
+    Json on = message;
+    on["passed"] = true;
+    for (const auto& [link, peer] : peers_)
+        if (!peer.dialled.empty()) send(link, on);
+}
+
+void Office::storeAnswered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now) {
+    const auto at = asks_.find(ask);
+    if (at == asks_.end()) return;
+    Succession* asker = at->second;
+    asks_.erase(at);
+    asker->answered(ask, std::move(row), now);
+}
+
+void Office::platformAnswered(std::uint64_t ask, int status, Nanos now) {
+    const auto at = asks_.find(ask);
+    if (at == asks_.end()) return;
+    Succession* asker = at->second;
+    asks_.erase(at);
+    asker->promoted(ask, status, now);
+}
+
+// Each service's duty belongs to the voter with the highest value for its name among those in reach.
+void Office::ownDuties(Nanos now) {
+    if (!satchel_.promotes) return;
+    std::vector<std::string> here;
+    for (const std::string& voter : voters_) {
+        const auto at = memberHeard_.find(voter);
+        if (voter == self_ || linkTo(voter) || (at != memberHeard_.end() && now - at->second < awayAfter))
+            here.push_back(voter);
+    }
+    const bool majority = here.size() >= voters_.size() / 2 + 1 && now < leaseUntil_;
+    board().under("store/", [&](const std::string&, const board::Record& record) {
+        if (!record.body.is_object()) return;
+        auto& slot = successions_[record.body.at("service").get<std::string>()];
+        if (!slot) slot = std::make_unique<Succession>(self_, record.body.at("service"), leaseTime + roundEvery, *this);
+    });
+    for (const auto& [service, succession] : successions_) {
+        const auto best = std::max_element(here.begin(), here.end(), [&, &name = service](auto& a, auto& b) {
+            return weight(a, name) < weight(b, name);
+        });
+        succession->own(majority && votes() && best != here.end() && *best == self_, now);
+        succession->tick(now);
+    }
+}
+
+void Office::tick(Nanos now) {
+    gossip_.own("member/" + self_,
+                {{"station", satchel_.station}, {"district", satchel_.district}, {"ip", satchel_.ip}});
+    rounds(now);
+    proposer_.tick(now);
+    if (recovering_ && now - recovery_.askedAt >= millis(300)) {
+        recovery_.askedAt = now;
+        for (const std::string& voter : voters_)
+            if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, {{"k", "dump?"}});
+    }
+    // After a start, what the disks hold is read by a majority and told to all; until it is, again.
+    if (founded_ && !recovering_ && now - readAt_ >= millis(500)) {
+        for (const auto& [name, slot] : acceptor_.all()) {
+            if (slot.value.is_null() || board().find(name)) continue;
+            proposer_.begin({name, [](const Json& was) { return was; },
+                             [this, name = name](std::optional<Json> stands) {
+                                 if (stands) learn(name, *stands);
+                             }},
+                            now, now + changeWithin);
+        }
+        readAt_ = now;
+    }
+    ownDuties(now);
+    flushProposer(now);
+}
+
+Json Office::state(Nanos now) const {
+    Json leads = Json::object();
+    for (const auto& [service, succession] : successions_) leads[service] = {{"phase", succession->phase()}};
+    board().under("lead/", [&](const std::string& name, const board::Record& r) { leads[name.substr(5)]["lead"] = r.body; });
+    const board::Record* config = board().find("config");
+    return {{"member", self_},
+            {"station", satchel_.station},
+            {"voters", voters_},
+            {"votes", votes()},
+            {"recovering", recovering_},
+            {"lease_left_ms", std::max<Nanos>(0, leaseUntil_ - now) / 1'000'000},
+            {"edition", config ? Json(config->version.major) : Json()},
+            {"registers", acceptor_.all().size()},
+            {"leads", leads}};
+}
+
+}  // namespace granitereel::sorting
--- /dev/null
+++ b/src/sorting/office.hpp
@@ -0,0 +1,104 @@
+// One member of control: what the stores, the operator, the fronts and the other members say to it, and what it
+// says, writes and answers. Composes the registers, the registry of stores, the lease and the succession of each
+// service. Free of I/O, clocks and chance: time comes in, outputs go out.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "board/gossip.hpp"
+#include "nanos.hpp"
+#include "satchel/satchel.hpp"
+#include "sorting/outputs.hpp"
+#include "sorting/register.hpp"
+#include "sorting/succession.hpp"
+#include "waybill/waybill.hpp"
+
+namespace granitereel::sorting {
+
+class Office : public Succession::Means {
+public:
+    // `incarnation`: drawn anew when the disk is empty, else as it was. `disk`: what was written, by name.
+    Office(const satchel::Satchel& satchel, std::string incarnation, const std::map<std::string, Json>& disk, Nanos now);
+
+    // Links to others: `dialled` ones lead to a member at that control address, others come in.
+    void linkUp(int link, const std::string& dialled, Nanos now);
+    void linkDown(int link, Nanos now);
+    void heard(int link, const Json& message, Nanos now);
+    // A call over HTTP: the path by segments.
+    void call(std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
+              const std::string& body, Nanos now);
+    void storeAnswered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now);
+    void platformAnswered(std::uint64_t ask, int status, Nanos now);
+    void tick(Nanos now);
+
+    Outputs take() { return std::exchange(outputs_, {}); }
+    // Members that a link is to be held to.
+    std::set<std::string> toDial() const;
+    Json state(Nanos now) const;
+
+private:
+    struct Peer {
+        std::string dialled, member, station, kind;  // kind: "member", "front"; empty: not said yet
+    };
+    struct Recovery {
+        std::set<std::string> from;
+        Nanos notBefore = 0, askedAt = 0;
+    };
+
+    Outputs& outputs() override { return outputs_; }
+    std::uint64_t nextAsk(Succession& asker) override;
+    void change(const std::string& service, std::uint64_t ifSeq, Lead to,
+                std::function<void(std::optional<Lead>)> done) override;
+    const board::Board& board() const override { return gossip_.board(); }
+    int syncReplicas(const std::string& service) const override;
+
+    void send(int link, Json message) { outputs_.push_back(ToLink{link, std::move(message)}); }
+    void answer(std::uint64_t call, Kind kind, std::string body = {}) {
+        outputs_.push_back(ToCaller{call, kind, std::move(body)});
+    }
+    void news(const std::string& name, const board::Record& record);
+    void storeCalled(std::uint64_t call, const std::string& id, const std::string& body, Nanos now);
+    void storeLeft(std::uint64_t call, const std::string& id);
+    void configSent(std::uint64_t call, const std::string& body, Nanos now);
+    void configAsked(std::uint64_t call, Nanos now);
+    void learn(const std::string& name, const Json& value);
+    void vote(int link, const Json& message);
+    void flushProposer(Nanos now);
+    void voters(std::set<std::string> voters);
+    void rounds(Nanos now);
+    void ownDuties(Nanos now);
+    bool votes() const { return voters_.count(self_) > 0 && !recovering_; }
+    int linkTo(const std::string& member) const;
+    void suspected(const Json& message, Nanos now);
+    Json cautions() const;
+    void caution(const std::string& service, std::uint64_t seq);
+
+    const satchel::Satchel satchel_;
+    const std::string self_, incarnation_;
+    Outputs outputs_;
+    board::Gossip gossip_;
+    Acceptor acceptor_;
+    Proposer proposer_;
+    std::set<std::string> voters_;
+    bool founded_ = false, recovering_ = false;
+    Recovery recovery_;
+    std::map<int, Peer> peers_;
+    std::map<std::string, std::string> incarnations_;
+    std::map<std::string, Nanos> memberHeard_;
+    std::map<std::string, std::uint64_t> cautions_;  // services whose lead may change: by which change of the lead
+    std::map<std::string, std::unique_ptr<Succession>> successions_;
+    std::map<std::uint64_t, Succession*> asks_;
+    std::uint64_t nextAsk_ = 1, round_ = 0;
+    Nanos roundAt_ = 0, leaseUntil_ = 0, startedAt_, readAt_ = 0;
+    std::map<std::uint64_t, std::pair<Nanos, std::set<std::string>>> roundsOut_;
+    waybill::Waybill waybill_;
+};
+
+// How long what was told of leads may be believed, counted from when the question for it was sent.
+constexpr Nanos leaseTime = millis(700);
+
+}  // namespace granitereel::sorting
--- /dev/null
+++ b/src/sorting/register.cpp
@@ -0,0 +1,142 @@
+#include "sorting/register.hpp"
+
+#include <algorithm>
+
+namespace granitereel::sorting {
+
+Json written(const Slot& slot) {
+    return {{"pr", slot.promised.round}, {"pb", slot.promised.by}, {"ar", slot.accepted.round},
+            {"ab", slot.accepted.by},    {"v", slot.value}};
+}
+
+Slot readSlot(const Json& text) {
+    return {{text.at("pr"), text.at("pb")}, {text.at("ar"), text.at("ab")}, text.at("v")};
+}
+
+bool Acceptor::promise(const std::string& name, const Ballot& ballot) {
+    Slot& slot = slots_[name];
+    if (ballot < slot.promised) return false;
+    slot.promised = ballot;
+    return true;
+}
+
+bool Acceptor::accept(const std::string& name, const Ballot& ballot, const Json& value) {
+    Slot& slot = slots_[name];
+    if (ballot < slot.promised) return false;
+    slot.promised = slot.accepted = ballot;
+    slot.value = value;
+    return true;
+}
+
+bool Acceptor::merge(const std::string& name, const Slot& other) {
+    Slot& slot = slots_[name];
+    bool changed = false;
+    if (slot.promised < other.promised) slot.promised = other.promised, changed = true;
+    if (slot.accepted < other.accepted) {
+        slot.accepted = other.accepted;
+        slot.value = other.value;
+        changed = true;
+    }
+    return changed;
+}
+
+void Proposer::begin(Change change, Nanos now, Nanos until) {
+    const std::uint64_t no = nextNo_++;
+    Running& running = running_[no];
+    running.change = std::move(change);
+    running.until = until;
+    prepare(no, running, now);
+}
+
+void Proposer::prepare(std::uint64_t no, Running& running, Nanos now) {
+    running.ballot = {++highestRound_, self_};
+    running.best = {};
+    running.was = running.value = nullptr;
+    running.accepting = running.paused = false;
+    running.answered.clear();
+    ask(no, running, now);
+}
+
+// Sends the present round's question to all who have not answered it.
+void Proposer::ask(std::uint64_t no, Running& running, Nanos now) {
+    running.sentAt = now;
+    for (const std::string& voter : voters_) {
+        if (running.answered.count(voter)) continue;
+        Json message = {{"k", running.accepting ? "accept" : "prepare"}, {"n", running.change.name},
+                        {"r", running.ballot.round},                      {"b", running.ballot.by},
+                        {"t", no}};
+        if (running.accepting) message["v"] = running.value;
+        said_.push_back({voter, std::move(message)});
+    }
+}
+
+void Proposer::heard(const std::string& from, const Json& answer, Nanos now) {
+    const auto found = running_.find(answer.at("t").get<std::uint64_t>());
+    const Ballot ballot{answer.at("r"), answer.at("b")};
+    const std::string kind = answer.at("k");
+    if (found == running_.end() || !voters_.count(from)) return;
+    Running& running = found->second;
+    if (kind == "refused") {
+        // `r`, `b`: what it has promised; so the next try is above it.
+        highestRound_ = std::max(highestRound_, ballot.round);
+        if (running.paused || ballot <= running.ballot) return;
+        // Two at once: the pause grows, and is longer by a part that their names make differ.
+        running.paused = true;
+        running.clashes = std::min(running.clashes + 1, 6);
+        const Nanos part = millis(static_cast<std::int64_t>(std::hash<std::string>()(self_) % 16));
+        running.resumeAt = now + (millis(4) + part) * running.clashes;
+        return;
+    }
+    if (running.paused || ballot != running.ballot || (kind == "accepted") != running.accepting) return;
+    Ballot held;
+    if (!running.accepting) {
+        held = {answer.at("ar"), answer.at("ab")};
+        if (running.best < held) {
+            running.best = held;
+            running.was = answer.at("av");
+        }
+    }
+    running.answered[from] = held;
+    proceed(found->first, running, now);
+}
+
+void Proposer::proceed(std::uint64_t no, Running& running, Nanos now) {
+    const std::size_t majority = voters_.size() / 2 + 1;
+    if (running.answered.size() < majority) return;
+    if (running.accepting) return end(no, running.value);
+    Json value = running.change.change(running.was);
+    // What a majority holds under one ballot is chosen already: nothing need be written to read it.
+    const auto same = std::count_if(running.answered.begin(), running.answered.end(),
+                                    [&](const auto& each) { return each.second == running.best; });
+    if (value == running.was && static_cast<std::size_t>(same) >= majority) return end(no, std::move(value));
+    running.value = std::move(value);
+    running.accepting = true;
+    running.answered.clear();
+    ask(no, running, now);
+}
+
+void Proposer::forgets(const std::string& voter) {
+    for (auto& [no, running] : running_) running.answered.erase(voter);
+}
+
+void Proposer::tick(Nanos now) {
+    std::vector<std::uint64_t> over;
+    for (auto& [no, running] : running_) {
+        if (now >= running.until)
+            over.push_back(no);
+        else if (running.paused && now >= running.resumeAt)
+            prepare(no, running, now);
+        else if (!running.paused && now - running.sentAt >= again)
+            ask(no, running, now);
+    }
+    for (const std::uint64_t no : over) end(no, std::nullopt);
+}
+
+void Proposer::end(std::uint64_t no, std::optional<Json> value) {
+    const auto found = running_.find(no);
+    auto done = std::move(found->second.change.done);
+    running_.erase(found);
+    done(std::move(value));
+}
+
+}  // namespace granitereel::sorting
--- /dev/null
+++ b/src/sorting/register.hpp
@@ -0,0 +1,109 @@
+// Registers that outlive machines: for each name a value that is changed by a function of what it was, held by a
+// majority of the core's disks before anyone is told (CASPaxos, Rystsov 2018: a round of promises, a round of
+// acceptances; no log and no leader). Two proposers at once may make each other begin anew; of what was once chosen
+// nothing is lost, and no two changes are built on the same value. Free of I/O, clocks and chance.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "nanos.hpp"
+
+namespace granitereel::sorting {
+
+using Json = nlohmann::json;
+
+struct Ballot {
+    std::uint64_t round = 0;
+    std::string by;  // a member; breaks ties
+    auto operator<=>(const Ballot&) const = default;
+};
+
+// What a member's disk holds of a register.
+struct Slot {
+    Ballot promised, accepted;
+    Json value;  // null: never written
+};
+
+Json written(const Slot& slot);
+Slot readSlot(const Json& text);  // throws nlohmann::json::exception
+
+// A member's part in promising and accepting. What it answers must not leave before the slot is on disk.
+class Acceptor {
+public:
+    void load(const std::string& name, Slot slot) { slots_[name] = std::move(slot); }
+    // Whether it promised to take nothing of a lower ballot.
+    bool promise(const std::string& name, const Ballot& ballot);
+    bool accept(const std::string& name, const Ballot& ballot, const Json& value);
+    const Slot& at(const std::string& name) { return slots_[name]; }
+    const std::map<std::string, Slot>& all() const { return slots_; }
+    // Takes over what another member holds, where that is more; says whether anything changed.
+    bool merge(const std::string& name, const Slot& other);
+
+private:
+    std::map<std::string, Slot> slots_;
+};
+
+// A change under way. `change` is given the value as it was (null: none) and returns it as it shall be; it may be
+// called more than once, and gives back the same to change nothing.
+struct Change {
+    std::string name;
+    std::function<Json(const Json&)> change;
+    // The value that now stands, or none if no majority could be had in time: then it may stand or not.
+    std::function<void(std::optional<Json>)> done;
+};
+
+// The proposers of one member: what is to be said to which members, and what came of it.
+class Proposer {
+public:
+    struct Said {
+        std::string to;
+        Json message;  // {"k": "prepare" | "accept", "n", "r", "b", "t", ("v")}
+    };
+    explicit Proposer(std::string self) : self_(std::move(self)) {}
+
+    // Who votes, this member included if it does. More than half of them is a majority.
+    void voters(std::set<std::string> voters) { voters_ = std::move(voters); }
+    const std::set<std::string>& voters() const { return voters_; }
+    // A member that has lost its disk answers anew under another incarnation: what it said before counts no more.
+    void forgets(const std::string& voter);
+
+    void begin(Change change, Nanos now, Nanos until);
+    // An answer to a message of ours: {"k": "promised" | "accepted" | "refused", "t", "r", "b", ("av", "ar", "ab")}.
+    void heard(const std::string& from, const Json& answer, Nanos now);
+    void tick(Nanos now);
+    std::vector<Said> takeSaid() { return std::exchange(said_, {}); }
+    bool idle() const { return running_.empty(); }
+    // What a member that answered nothing is asked again after.
+    static constexpr Nanos again = millis(150);
+
+private:
+    struct Running {
+        Change change;
+        Nanos until = 0, sentAt = 0, resumeAt = 0;
+        Ballot ballot, best;
+        Json was, value;
+        bool accepting = false, paused = false;
+        std::map<std::string, Ballot> answered;  // with what each had accepted
+        int clashes = 0;
+    };
+    void prepare(std::uint64_t no, Running& running, Nanos now);
+    void ask(std::uint64_t no, Running& running, Nanos now);
+    void proceed(std::uint64_t no, Running& running, Nanos now);
+    void end(std::uint64_t no, std::optional<Json> value);
+
+    std::string self_;
+    std::set<std::string> voters_;
+    std::map<std::uint64_t, Running> running_;
+    std::uint64_t nextNo_ = 1, highestRound_ = 0;
+    std::vector<Said> said_;
+};
+
+}  // namespace granitereel::sorting
