Let who votes follow who is there; settle what nobody said; leave parents without a lease

Change: agents leave a parent that gives no lease for 0.9 s; an accepted value that nobody says to stand is read by a majority and told; control machines beyond the seeds get votes one by one, registers accepted anew before each change.

--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -9,8 +9,9 @@
 namespace {
 // Three questions fit into a lease, so that one lost answer does not end it.
 constexpr Nanos askEvery = millis(200);
-// A parent that says nothing for so long is taken for cut off.
-constexpr Nanos silentFor = millis(1500);
+// A parent that gives no lease for so long is cut off from the core, or from here: others are tried, and it again
+// after a while that doubles.
+constexpr Nanos barrenFor = millis(900), shunned = millis(2'000), shunnedMost = millis(16'000);
 
 std::uint64_t weight(const std::string& who, const std::string& what) {
     const std::string both = who + '\n' + what;
@@ -56,6 +57,10 @@
     for (auto& [ip, name] : far) all.push_back(ip);
     for (const std::string& seed : satchel_.seeds)
         if (std::find(all.begin(), all.end(), ipOf(seed)) == all.end()) all.push_back(ipOf(seed));
+    std::stable_partition(all.begin(), all.end(), [&](const std::string& ip) {
+        const auto at = barren_.find(ip);
+        return at == barren_.end() || now_ >= at->second.first;
+    });
     return all;
 }
 
@@ -70,7 +75,7 @@
     upAddress_ = address;
     asks_.clear();
     askedAt_ = 0;
-    heardAt_ = now;
+    grantedAt_ = now;
     if (link == 0) return;
     said_.push_back({link, {{"k", "hello"}, {"kind", "front"}, {"station", satchel_.station}}});
     gossip_.join(link);
@@ -88,7 +93,6 @@
 
 void Courier::heard(int link, const Json& message, Nanos now) {
     const std::string kind = message.at("k");
-    if (link == up_) heardAt_ = now;
     if (kind == "news") {
         gossip_.heard(link, message);
     } else if (kind == "lease" && link == up_) {
@@ -96,7 +100,11 @@
         if (asked == asks_.end()) return;
         // Counted from when it was asked for, which is before it was given.
         const Nanos left = message.at("left").get<std::int64_t>() * 1000;
-        if (left > 0) leaseUntil_ = std::max(leaseUntil_, asked->second + left);
+        if (left > 0) {
+            leaseUntil_ = std::max(leaseUntil_, asked->second + left);
+            grantedAt_ = now;
+            barren_.erase(upAddress_);
+        }
         asks_.erase(asks_.begin(), std::next(asked));
         cautions_ = message.at("c");
     } else if (kind == "lease?") {
@@ -111,13 +119,19 @@
 }
 
 void Courier::tick(Nanos now) {
+    now_ = now;
     if (up_ != 0 && now - askedAt_ >= askEvery) {
         askedAt_ = now;
         asks_[++asked_] = now;
         if (asks_.size() > 8) asks_.erase(asks_.begin());
         said_.push_back({up_, {{"k", "lease?"}, {"t", asked_}}});
     }
-    if (up_ != 0 && now - heardAt_ > silentFor) upAddress_ = "silent";
+    if (up_ != 0 && now - grantedAt_ > barrenFor) {
+        auto& [until, pause] = barren_[upAddress_];
+        pause = std::clamp(2 * pause, shunned, shunnedMost);
+        until = now + pause;
+        grantedAt_ = now;
+    }
 }
 
 }  // namespace granitereel::courier
--- a/src/courier/courier.hpp
+++ b/src/courier/courier.hpp
@@ -47,7 +47,8 @@
     std::set<int> below_;
     std::uint64_t asked_ = 0;
     std::map<std::uint64_t, Nanos> asks_;
-    Nanos askedAt_ = 0, heardAt_ = 0, leaseUntil_ = 0;
+    Nanos askedAt_ = 0, grantedAt_ = 0, leaseUntil_ = 0, now_ = 0;
+    std::map<std::string, std::pair<Nanos, Nanos>> barren_;  // parents without a lease: until when, for how long
     Json cautions_ = Json::object();
 };
 
--- a/src/sorting/office.cpp
+++ b/src/sorting/office.cpp
@@ -13,6 +13,10 @@
 constexpr Nanos changeWithin = millis(900);
 // A member whose link is down for longer counts as away when duties are dealt out.
 constexpr Nanos awayAfter = millis(600);
+// An accepted value that nobody has said to stand is settled after this.
+constexpr Nanos unsaidFor = millis(250);
+// A member that comes gets its vote after this; one that is away loses it after this, where others have come.
+constexpr Nanos settlesIn = millis(300), awayForGood = millis(15'000);
 // What an earlier life of a member with an empty disk may have said is no longer under way after this.
 constexpr Nanos forgottenAfter = changeWithin + millis(300);
 
@@ -32,33 +36,39 @@
               [this](const std::string& name, const board::Record& record) { news(name, record); }),
       proposer_(self_),
       startedAt_(now) {
+    now_ = now;
     for (const auto& [name, body] : disk) {
         if (name == "core") {
-            voters(body.at("voters").get<std::set<std::string>>());
+            core_ = {body.at("epoch").get<std::uint64_t>(), body.at("voters").get<std::set<std::string>>()};
             recovering_ = body.value("recovering", false);
         }
         if (name.starts_with("slot/")) acceptor_.load(name.substr(5), readSlot(body));
     }
-    if (!founded_ && satchel_.firstBoot) {
+    if (core_.epoch) {
+        proposer_.core(core_, now);
+    } else if (satchel_.firstBoot) {
         // All processes get the same seeds at the first start: they found the core, each by itself and alike.
-        voters({satchel_.seeds.begin(), satchel_.seeds.end()});
-        outputs_.push_back(ToDisk{"core", {{"voters", voters_}}});
-        outputs_.push_back(ToLog{"founding the core with " + std::to_string(voters_.size()) + " voters"});
-    } else if (!founded_) {
+        outputs_.push_back(ToLog{"founding the core with " + std::to_string(satchel_.seeds.size()) + " voters"});
+        adopt({1, {satchel_.seeds.begin(), satchel_.seeds.end()}});
+    } else {
         outputs_.push_back(ToLog{"no state on disk: asking the core for it"});
     }
     recovery_.notBefore = now + forgottenAfter;
 }
 
-void Office::voters(std::set<std::string> voters) {
-    voters_ = std::move(voters);
-    founded_ = true;
-    proposer_.voters(voters_);
+// Of two cores the later epoch holds, from the disk's sync on.
+void Office::adopt(Core core) {
+    if (core.epoch <= core_.epoch) return;
+    core_ = std::move(core);
+    reform_.reset();
+    outputs_.push_back(ToDisk{"core", {{"epoch", core_.epoch}, {"voters", core_.voters}, {"recovering", recovering_}}});
+    proposer_.core(core_, now_);
 }
 
 std::set<std::string> Office::toDial() const {
-    std::set<std::string> members = voters_;
-    if (!founded_) members.insert(satchel_.seeds.begin(), satchel_.seeds.end());
+    std::set<std::string> members = core_.voters;
+    // Who does not vote may have missed who does: the seeds know.
+    if (!core_.voters.count(self_)) members.insert(satchel_.seeds.begin(), satchel_.seeds.end());
     members.erase(self_);
     return members;
 }
@@ -94,6 +104,9 @@
         if (at != cautions_.end() && record.version.major >= at->second) cautions_.erase(at);
     }
     if (name == "config") waybill_ = waybill::read(record.body);
+    if (name == "core")
+        adopt({record.body.at("epoch").get<std::uint64_t>(), record.body.at("voters").get<std::set<std::string>>()});
+    unsaid_.erase(name);
 }
 
 // A register's value that is known to stand becomes a record for all.
@@ -101,11 +114,19 @@
     if (value.is_null()) return;
     if (name == "config")
         gossip_.put(name, {{value.at("edition").get<std::uint64_t>(), 0}, value});
+    else if (name == "core")
+        gossip_.put(name, {{value.at("epoch").get<std::uint64_t>(), 0}, value});
     else if (name.starts_with("lead/"))
         gossip_.put(name, {{value.at("seq").get<std::uint64_t>(), 0}, value});
 }
 
 void Office::heard(int link, const Json& message, Nanos now) {
+    now_ = now;
+    take(link, message, now);
+    flushProposer(now);
+}
+
+void Office::take(int link, const Json& message, Nanos now) {
     const auto found = peers_.find(link);
     if (found == peers_.end()) return;
     Peer& peer = found->second;
@@ -128,14 +149,17 @@
                         {"station", satchel_.station},
                         {"district", satchel_.district},
                         {"incarnation", incarnation_},
-                        {"voters", founded_ ? Json(voters_) : Json()}});
+                        {"epoch", core_.epoch},
+                        {"voters", core_.voters}});
             gossip_.join(link);
-        } else if (!founded_ && message.contains("voters") && message["voters"].is_array()) {
-            voters(message["voters"].get<std::set<std::string>>());
-            recovering_ = voters_.count(self_) > 0;
-            outputs_.push_back(ToDisk{"core", {{"voters", voters_}, {"recovering", recovering_}}});
-            outputs_.push_back(ToLog{recovering_ ? "the disk was lost: reading the core's state before voting"
-                                                 : "joined the core without a vote"});
+        } else if (const std::uint64_t epoch = message.value("epoch", std::uint64_t(0)); epoch > core_.epoch) {
+            Core core{epoch, message.at("voters").get<std::set<std::string>>()};
+            if (!core_.epoch) {
+                recovering_ = core.voters.count(self_) > 0;
+                outputs_.push_back(ToLog{recovering_ ? "the disk was lost: reading the core's state before voting"
+                                                     : "joined the core without a vote"});
+            }
+            adopt(std::move(core));
         }
     } else if (kind == "news") {
         gossip_.heard(link, message);
@@ -143,40 +167,53 @@
         vote(link, message);
     } else if (kind == "promised" || kind == "accepted" || kind == "refused") {
         proposer_.heard(peer.dialled, message, now);
-        flushProposer(now);
+    } else if (kind == "stale") {
+        adopt({message.at("e").get<std::uint64_t>(), message.at("c").get<std::set<std::string>>()});
     } else if (kind == "round") {
-        if (votes()) send(link, {{"k", "roundok"}, {"t", message.at("t")}, {"c", cautions()}});
+        if (votes() && message.at("e") == core_.epoch) send(link, {{"k", "roundok"}, {"t", message.at("t")}, {"c", cautions()}});
     } else if (kind == "roundok") {
         const auto at = roundsOut_.find(message.at("t").get<std::uint64_t>());
         for (const auto& [service, seq] : message.at("c").items()) caution(service, seq.get<std::uint64_t>());
-        if (at == roundsOut_.end() || !voters_.count(peer.dialled)) return;
+        if (at == roundsOut_.end() || !core_.voters.count(peer.dialled)) return;
         auto& [sent, from] = at->second;
         from.insert(peer.dialled);
-        if (from.size() >= voters_.size() / 2 + 1) leaseUntil_ = std::max(leaseUntil_, sent + leaseTime);
+        if (from.size() >= core_.majority()) leaseUntil_ = std::max(leaseUntil_, sent + leaseTime);
     } else if (kind == "lease?") {
         const Nanos left = leaseUntil_ - now;
         send(link, {{"k", "lease"}, {"t", message.at("t")}, {"left", std::max<Nanos>(0, left / 1000)}, {"c", cautions()}});
     } else if (kind == "suspect") {
         suspected(message, now);
     } else if (kind == "dump?") {
+        if (message.contains("c")) adopt({message.at("e").get<std::uint64_t>(), message["c"].get<std::set<std::string>>()});
         if (!votes()) return;
         Json slots = Json::object();
         for (const auto& [name, slot] : acceptor_.all()) slots[name] = written(slot);
-        send(link, {{"k", "dump"}, {"slots", std::move(slots)}});
+        send(link, {{"k", "dump"}, {"e", core_.epoch}, {"slots", std::move(slots)}});
+    } else if (kind == "dump" && reform_ && !recovering_) {
+        if (message.at("e") != core_.epoch || !core_.voters.count(peer.dialled)) return;
+        reform_->heard.insert(peer.dialled);
+        for (const auto& [name, slot] : message.at("slots").items()) reform_->names.insert(name);
     } else if (kind == "dump" && recovering_) {
         for (const auto& [name, slot] : message.at("slots").items())
             if (acceptor_.merge(name, readSlot(slot))) outputs_.push_back(ToDisk{"slot/" + name, written(acceptor_.at(name))});
         recovery_.from.insert(peer.dialled);
-        if (recovery_.from.size() >= voters_.size() / 2 + 1 && now >= recovery_.notBefore) {
+        if (recovery_.from.size() >= core_.majority() && now >= recovery_.notBefore) {
             recovering_ = false;
-            outputs_.push_back(ToDisk{"core", {{"voters", voters_}}});
+            outputs_.push_back(ToDisk{"core", {{"epoch", core_.epoch}, {"voters", core_.voters}}});
             outputs_.push_back(ToLog{"the core's state is read; votes again"});
         }
     }
 }
 
 void Office::vote(int link, const Json& message) {
+    // An earlier epoch's majority may lack what was accepted since: its proposer is told the present one.
+    const std::uint64_t epoch = message.at("e");
+    if (epoch > core_.epoch) adopt({epoch, message.at("c").get<std::set<std::string>>()});
     if (!votes()) return;
+    if (epoch < core_.epoch) {
+        if (link) send(link, {{"k", "stale"}, {"e", core_.epoch}, {"c", core_.voters}});
+        return;
+    }
     const std::string name = message.at("n");
     const Ballot ballot{message.at("r"), message.at("b")};
     Json reply{{"n", name}, {"t", message.at("t")}};
@@ -186,6 +223,7 @@
     if (accepting) {
         taken = acceptor_.accept(name, ballot, message.at("v"));
         if (taken && name.starts_with("lead/")) caution(name.substr(5), message["v"].at("seq"));
+        if (taken) unsaid_.try_emplace(name, now_);
     } else {
         taken = acceptor_.promise(name, ballot);
     }
@@ -206,11 +244,11 @@
     if (link != 0)
         send(link, std::move(reply));
     else
-        proposer_.heard(self_, reply, 0);
+        proposer_.heard(self_, reply, now_);
 }
 
 // What proposers of this member say goes to its own vote directly.
-void Office::flushProposer(Nanos now) {
+void Office::flushProposer(Nanos) {
     for (auto said = proposer_.takeSaid(); !said.empty(); said = proposer_.takeSaid())
         for (auto& [to, message] : said) {
             if (to == self_) {
@@ -219,7 +257,6 @@
                 send(link, std::move(message));
             }
         }
-    (void)now;
 }
 
 void Office::caution(const std::string& service, std::uint64_t seq) {
@@ -234,16 +271,16 @@
 }
 
 void Office::rounds(Nanos now) {
-    if (!founded_ || now - roundAt_ < roundEvery) return;
+    if (!core_.epoch || now - roundAt_ < roundEvery) return;
     roundAt_ = now;
     const std::uint64_t no = ++round_;
     roundsOut_.erase(roundsOut_.begin(), roundsOut_.lower_bound(no > 8 ? no - 8 : 0));
     auto& out = roundsOut_[no];
     out.first = now;
     if (votes()) out.second.insert(self_);
-    if (out.second.size() >= voters_.size() / 2 + 1) leaseUntil_ = std::max(leaseUntil_, now + leaseTime);
-    for (const std::string& voter : voters_)
-        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, {{"k", "round"}, {"t", no}});
+    if (out.second.size() >= core_.majority()) leaseUntil_ = std::max(leaseUntil_, now + leaseTime);
+    for (const std::string& voter : core_.voters)
+        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, {{"k", "round"}, {"t", no}, {"e", core_.epoch}});
 }
 
 std::uint64_t Office::nextAsk(Succession& asker) {
@@ -264,8 +301,8 @@
                          if (stands) learn(name, *stands);
                          done(stands && *stands == wanted ? readLead(*stands) : std::nullopt);
                      }},
-                    roundAt_, roundAt_ + changeWithin);
-    flushProposer(roundAt_);
+                    now_, now_ + changeWithin);
+    flushProposer(now_);
 }
 
 int Office::syncReplicas(const std::string& service) const {
@@ -275,6 +312,7 @@
 
 void Office::call(std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
                   const std::string& body, Nanos now) {
+    now_ = now;
     const std::string place = path.empty() ? "" : path[0];
     const std::string what = method + " " + place + (path.size() > 1 ? "/ID" : "");
     if (path.size() <= 2) {
@@ -330,7 +368,7 @@
     } catch (const waybill::Invalid& fault) {
         return answer(call, Kind::notSound, Json{{"fault", fault.what()}}.dump());
     }
-    if (!founded_) return answer(call, Kind::unready);
+    if (!core_.epoch) return answer(call, Kind::unready);
     proposer_.begin({"config",
                      [sent](const Json& was) {
                          if (was.is_object() && was.at("edition") >= sent.at("edition")) return was;
@@ -346,7 +384,7 @@
 }
 
 void Office::configAsked(std::uint64_t call, Nanos now) {
-    if (!founded_) return answer(call, Kind::unready);
+    if (!core_.epoch) return answer(call, Kind::unready);
     proposer_.begin({"config", [](const Json& was) { return was; },
                      [this, call](std::optional<Json> stands) {
                          if (!stands) return answer(call, Kind::noMajority);
@@ -390,12 +428,12 @@
 void Office::ownDuties(Nanos now) {
     if (!satchel_.promotes) return;
     std::vector<std::string> here;
-    for (const std::string& voter : voters_) {
+    for (const std::string& voter : core_.voters) {
         const auto at = memberHeard_.find(voter);
         if (voter == self_ || linkTo(voter) || (at != memberHeard_.end() && now - at->second < awayAfter))
             here.push_back(voter);
     }
-    const bool majority = here.size() >= voters_.size() / 2 + 1 && now < leaseUntil_;
+    const bool majority = here.size() >= core_.majority() && now < leaseUntil_;
     board().under("store/", [&](const std::string&, const board::Record& record) {
         if (!record.body.is_object()) return;
         auto& slot = successions_[record.body.at("service").get<std::string>()];
@@ -410,28 +448,132 @@
     }
 }
 
+// What was accepted here and is said by nobody to stand may have been chosen by a proposer that died before it could
+// say so; and after a start nobody has said anything. It is read by a majority, which settles it, and told to all.
+void Office::repair(Nanos now) {
+    if (!core_.epoch || recovering_ || now - readAt_ < millis(100)) return;
+    readAt_ = now;
+    std::vector<std::string> names;
+    if (now - startedAt_ < millis(30'000))
+        for (const auto& [name, slot] : acceptor_.all())
+            if (!slot.value.is_null() && !board().find(name)) unsaid_.try_emplace(name, now);
+    for (auto& [name, since] : unsaid_)
+        if (now - since >= unsaidFor) names.push_back(name), since = now;
+    for (const std::string& name : names)
+        proposer_.begin({name, [](const Json& was) { return was; },
+                         [this, name](std::optional<Json> stands) {
+                             if (!stands) return;
+                             learn(name, *stands);
+                             unsaid_.erase(name);
+                         }},
+                        now, now + changeWithin);
+}
+
+bool Office::here(const std::string& member) const {
+    if (member == self_) return true;
+    for (const auto& [link, peer] : peers_)
+        if (peer.dialled == member || peer.member == member) return true;
+    return false;
+}
+
+// Who votes follows who is there: each member of control that stays gets a vote, one that is away for long loses it
+// once another has come in its place. One voter at a time; before each change every register is accepted anew by a
+// majority of the present voters, so that the next epoch's majorities meet one that holds it.
+void Office::manage(Nanos now) {
+    if (!core_.epoch || !votes() || now - managedAt_ < millis(100)) return;
+    managedAt_ = now;
+    if (reform_) {
+        Reform& reform = *reform_;
+        if (now - reform.since > millis(3000)) return reform_.reset();
+        if (reform.left < 0 && reform.heard.size() >= core_.majority()) {
+            reform.left = static_cast<int>(reform.names.size());
+            const std::uint64_t epoch = core_.epoch;
+            for (const std::string& name : std::set<std::string>(reform.names))
+                proposer_.begin({name, [](const Json& was) { return was; },
+                                 [this, name, epoch](std::optional<Json> stands) {
+                                     if (!reform_ || core_.epoch != epoch) return;
+                                     if (!stands) return reform_.reset();
+                                     learn(name, *stands);
+                                     --reform_->left;
+                                 },
+                                 true},
+                                now, now + changeWithin);
+        }
+        if (reform.left == 0) {
+            reform.left = 1 << 30;  // once
+            changeCore(reform.to, now);
+        } else if (reform.left < 0 && now - reform.askedAt > millis(300)) {
+            reform.askedAt = now;
+            for (const std::string& voter : core_.voters)
+                if (const int link = voter == self_ ? 0 : linkTo(voter))
+                    send(link, {{"k", "dump?"}, {"e", core_.epoch}, {"c", core_.voters}});
+        }
+        return;
+    }
+    // The first in order of those in reach acts; two that think so clash at the register, and one goes on.
+    std::string acts;
+    for (const std::string& voter : core_.voters)
+        if (acts.empty() && here(voter)) acts = voter;
+    std::set<std::string> present, away;
+    for (const auto& [link, peer] : peers_)
+        if (!peer.member.empty()) present.insert(peer.member);
+    for (const std::string& voter : core_.voters) {
+        if (here(voter))
+            voterAway_.erase(voter);
+        else if (now - voterAway_.try_emplace(voter, now).first->second > awayForGood)
+            away.insert(voter);
+    }
+    std::erase_if(memberSince_, [&](const auto& each) { return !present.count(each.first); });
+    for (const std::string& member : present) memberSince_.try_emplace(member, now);
+    if (acts != self_) return;
+    Reform reform;
+    reform.to = core_;
+    ++reform.to.epoch;
+    for (const auto& [member, since] : memberSince_)
+        if (!core_.voters.count(member) && now - since >= settlesIn) {
+            reform.to.voters.insert(member);
+            break;
+        }
+    if (reform.to.voters == core_.voters && core_.voters.size() > 3 && !away.empty())
+        reform.to.voters.erase(*away.begin());
+    if (reform.to.voters == core_.voters) return;
+    reform.since = now;
+    reform.heard.insert(self_);
+    for (const auto& [name, slot] : acceptor_.all()) reform.names.insert(name);
+    reform_ = std::move(reform);
+}
+
+void Office::changeCore(Core to, Nanos now) {
+    const Json wanted{{"epoch", to.epoch}, {"voters", to.voters}};
+    proposer_.begin({"core",
+                     [wanted](const Json& was) {
+                         const std::uint64_t epoch = was.is_object() ? was.at("epoch").get<std::uint64_t>() : 1;
+                         return epoch + 1 == wanted.at("epoch") ? wanted : was;
+                     },
+                     [this, wanted](std::optional<Json> stands) {
+                         reform_.reset();
+                         if (!stands || stands->is_null()) return;
+                         learn("core", *stands);
+                         if (*stands == wanted)
+                             outputs_.push_back(ToLog{"core of " + std::to_string(wanted.at("voters").size()) +
+                                                      " voters in epoch " + wanted.at("epoch").dump()});
+                     }},
+                    now, now + changeWithin);
+}
+
 void Office::tick(Nanos now) {
+    now_ = now;
     gossip_.own("member/" + self_,
                 {{"station", satchel_.station}, {"district", satchel_.district}, {"ip", satchel_.ip}});
     rounds(now);
     proposer_.tick(now);
     if (recovering_ && now - recovery_.askedAt >= millis(300)) {
         recovery_.askedAt = now;
-        for (const std::string& voter : voters_)
+        for (const std::string& voter : core_.voters)
             if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, {{"k", "dump?"}});
     }
-    // After a start, what the disks hold is read by a majority and told to all; until it is, again.
-    if (founded_ && !recovering_ && now - readAt_ >= millis(500)) {
-        for (const auto& [name, slot] : acceptor_.all()) {
-            if (slot.value.is_null() || board().find(name)) continue;
-            proposer_.begin({name, [](const Json& was) { return was; },
-                             [this, name = name](std::optional<Json> stands) {
-                                 if (stands) learn(name, *stands);
-                             }},
-                            now, now + changeWithin);
-        }
-        readAt_ = now;
-    }
+    repair(now);
+    manage(now);
     ownDuties(now);
     flushProposer(now);
 }
@@ -443,7 +585,8 @@
     const board::Record* config = board().find("config");
     return {{"member", self_},
             {"station", satchel_.station},
-            {"voters", voters_},
+            {"epoch", core_.epoch},
+            {"voters", core_.voters},
             {"votes", votes()},
             {"recovering", recovering_},
             {"lease_left_ms", std::max<Nanos>(0, leaseUntil_ - now) / 1'000'000},
--- a/src/sorting/office.hpp
+++ b/src/sorting/office.hpp
@@ -35,7 +35,7 @@
     void platformAnswered(std::uint64_t ask, int status, Nanos now);
     void tick(Nanos now);
 
-    Outputs take() { return std::exchange(outputs_, {}); }
+    Outputs takeOutputs() { return std::exchange(outputs_, {}); }
     // Members that a link is to be held to.
     std::set<std::string> toDial() const;
     Json state(Nanos now) const;
@@ -60,6 +60,7 @@
     void answer(std::uint64_t call, Kind kind, std::string body = {}) {
         outputs_.push_back(ToCaller{call, kind, std::move(body)});
     }
+    void take(int link, const Json& message, Nanos now);
     void news(const std::string& name, const board::Record& record);
     void storeCalled(std::uint64_t call, const std::string& id, const std::string& body, Nanos now);
     void storeLeft(std::uint64_t call, const std::string& id);
@@ -68,10 +69,14 @@
     void learn(const std::string& name, const Json& value);
     void vote(int link, const Json& message);
     void flushProposer(Nanos now);
-    void voters(std::set<std::string> voters);
+    void adopt(Core core);
+    void manage(Nanos now);
+    void changeCore(Core to, Nanos now);
+    void repair(Nanos now);
     void rounds(Nanos now);
     void ownDuties(Nanos now);
-    bool votes() const { return voters_.count(self_) > 0 && !recovering_; }
+    bool votes() const { return core_.voters.count(self_) > 0 && !recovering_; }
+    bool here(const std::string& member) const;
     int linkTo(const std::string& member) const;
     void suspected(const Json& message, Nanos now);
     Json cautions() const;
@@ -83,8 +88,19 @@
     board::Gossip gossip_;
     Acceptor acceptor_;
     Proposer proposer_;
-    std::set<std::string> voters_;
-    bool founded_ = false, recovering_ = false;
+    Core core_;
+    bool recovering_ = false;
+    // A change of who votes: the registers of those who answered, which are accepted anew before it.
+    struct Reform {
+        Core to;
+        std::set<std::string> heard, names;
+        Nanos since = 0, askedAt = 0;
+        int left = -1;  // still to be accepted anew; below nought: not begun
+    };
+    std::optional<Reform> reform_;
+    Nanos managedAt_ = 0, now_ = 0;
+    std::map<std::string, Nanos> memberSince_, voterAway_;
+    std::map<std::string, Nanos> unsaid_;  // registers accepted here that nobody has said to stand
     Recovery recovery_;
     std::map<int, Peer> peers_;
     std::map<std::string, std::string> incarnations_;
--- a/src/sorting/program.cpp
+++ b/src/sorting/program.cpp
@@ -125,7 +125,7 @@
     }
 
     void carryOut() {
-        for (Outputs outputs = office_.take(); !outputs.empty(); outputs = office_.take())
+        for (Outputs outputs = office_.takeOutputs(); !outputs.empty(); outputs = office_.takeOutputs())
             for (Output& output : outputs) std::visit([this](auto& each) { carry(each); }, output);
     }
     void carry(ToLink& out) {
--- a/src/sorting/register.cpp
+++ b/src/sorting/register.cpp
@@ -60,11 +60,13 @@
 // Sends the present round's question to all who have not answered it.
 void Proposer::ask(std::uint64_t no, Running& running, Nanos now) {
     running.sentAt = now;
-    for (const std::string& voter : voters_) {
+    for (const std::string& voter : core_.voters) {
         if (running.answered.count(voter)) continue;
         Json message = {{"k", running.accepting ? "accept" : "prepare"}, {"n", running.change.name},
                         {"r", running.ballot.round},                      {"b", running.ballot.by},
-                        {"t", no}};
+                        {"t", no},
+                        {"e", core_.epoch},
+                        {"c", core_.voters}};
         if (running.accepting) message["v"] = running.value;
         said_.push_back({voter, std::move(message)});
     }
@@ -74,7 +76,7 @@
     const auto found = running_.find(answer.at("t").get<std::uint64_t>());
     const Ballot ballot{answer.at("r"), answer.at("b")};
     const std::string kind = answer.at("k");
-    if (found == running_.end() || !voters_.count(from)) return;
+    if (found == running_.end() || !core_.voters.count(from)) return;
     Running& running = found->second;
     if (kind == "refused") {
         // `r`, `b`: what it has promised; so the next try is above it.
@@ -101,20 +103,26 @@
 }
 
 void Proposer::proceed(std::uint64_t no, Running& running, Nanos now) {
-    const std::size_t majority = voters_.size() / 2 + 1;
+    const std::size_t majority = core_.majority();
     if (running.answered.size() < majority) return;
     if (running.accepting) return end(no, running.value);
     Json value = running.change.change(running.was);
     // What a majority holds under one ballot is chosen already: nothing need be written to read it.
     const auto same = std::count_if(running.answered.begin(), running.answered.end(),
                                     [&](const auto& each) { return each.second == running.best; });
-    if (value == running.was && static_cast<std::size_t>(same) >= majority) return end(no, std::move(value));
+    if (!running.change.anew && value == running.was && static_cast<std::size_t>(same) >= majority) return end(no, std::move(value));
     running.value = std::move(value);
     running.accepting = true;
     running.answered.clear();
     ask(no, running, now);
 }
 
+void Proposer::core(Core core, Nanos now) {
+    if (core.epoch <= core_.epoch) return;
+    core_ = std::move(core);
+    for (auto& [no, running] : running_) prepare(no, running, now);
+}
+
 void Proposer::forgets(const std::string& voter) {
     for (auto& [no, running] : running_) running.answered.erase(voter);
 }
--- a/src/sorting/register.hpp
+++ b/src/sorting/register.hpp
@@ -26,6 +26,14 @@
     auto operator<=>(const Ballot&) const = default;
 };
 
+// Who votes, and since which change of that. A change adds or takes away one voter, so that majorities of an epoch
+// and of the next have a member in common; before a further one all registers are accepted anew (Office::manage).
+struct Core {
+    std::uint64_t epoch = 0;  // 0: not known
+    std::set<std::string> voters;
+    std::size_t majority() const { return voters.size() / 2 + 1; }
+};
+
 // What a member's disk holds of a register.
 struct Slot {
     Ballot promised, accepted;
@@ -58,6 +66,8 @@
     std::function<Json(const Json&)> change;
     // The value that now stands, or none if no majority could be had in time: then it may stand or not.
     std::function<void(std::optional<Json>)> done;
+    // Has it accepted again by a majority even where it stands unchanged.
+    bool anew = false;
 };
 
 // The proposers of one member: what is to be said to which members, and what came of it.
@@ -65,13 +75,13 @@
 public:
     struct Said {
         std::string to;
-        Json message;  // {"k": "prepare" | "accept", "n", "r", "b", "t", ("v")}
+        Json message;  // {"k": "prepare" | "accept", "n", "r", "b", "t", "e": epoch, "c": voters, ("v")}
     };
     explicit Proposer(std::string self) : self_(std::move(self)) {}
 
-    // Who votes, this member included if it does. More than half of them is a majority.
-    void voters(std::set<std::string> voters) { voters_ = std::move(voters); }
-    const std::set<std::string>& voters() const { return voters_; }
+    // What is under way begins anew with the voters of a later epoch.
+    void core(Core core, Nanos now);
+    const Core& core() const { return core_; }
     // A member that has lost its disk answers anew under another incarnation: what it said before counts no more.
     void forgets(const std::string& voter);
 
@@ -100,7 +110,7 @@
     void end(std::uint64_t no, std::optional<Json> value);
 
     std::string self_;
-    std::set<std::string> voters_;
+    Core core_;
     std::map<std::uint64_t, Running> running_;
     std::uint64_t nextNo_ = 1, highestRound_ = 0;
     std::vector<Said> said_;
