--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -14,6 +14,14 @@
     return at == records_.end() ? nullptr : &at->second;
 }
 
+Json shorter(const Json& was, const Json& now) {
+    if (!was.is_object() || !now.is_object()) return nullptr;
+    const std::size_t whole = now.dump().size();
+    if (whole < 1024) return nullptr;
+    Json patch = Json::diff(was, now);
+    return patch.dump().size() < whole / 2 ? patch : Json();
+}
+
 Json told(const std::string& name, const Record& record) {
     return {{"n", name}, {"v", {record.version.major, record.version.minor}}, {"b", record.body}};
 }
--- a/src/board/board.hpp
+++ b/src/board/board.hpp
@@ -43,6 +43,9 @@
     std::map<std::string, Record> records_;
 };
 
+// The difference between two bodies as a patch (RFC 6902), or null where it is not much shorter than the whole.
+Json shorter(const Json& was, const Json& now);
+
 // A record as it is told: {"n": name, "v": [major, minor], "b": body}.
 Json told(const std::string& name, const Record& record);
 // Takes one so told; throws nlohmann::json::exception where it is not of this form.
--- a/src/counter/pooler.cpp
+++ b/src/counter/pooler.cpp
@@ -247,7 +247,7 @@
 void Pooler::courierSaid(const Json& message, Nanos now) {
     begin(now);
     const std::string kind = message.at("k");
-    if (kind == "news") {
+    if (kind == "news" || kind == "whole?") {
         gossip_.heard(1, message);
     } else if (kind == "lease") {
         const auto asked = leaseAsks_.find(message.at("t").get<std::uint64_t>());
--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -64,9 +64,15 @@
     return all;
 }
 
-bool Courier::betterParent() const {
+std::string Courier::betterParent() const {
     const auto all = parents();
-    return up_ != 0 && !all.empty() && all.front() != upAddress_;
+    return up_ != 0 && !all.empty() && all.front() != upAddress_ ? all.front() : "";
+}
+
+void Courier::shun(const std::string& address, Nanos now) {
+    auto& [until, pause] = barren_[address];
+    pause = std::clamp(2 * pause, shunned, shunnedMost);
+    until = now + pause;
 }
 
 void Courier::upward(int link, const std::string& address, Nanos now) {
@@ -93,7 +99,7 @@
 
 void Courier::heard(int link, const Json& message, Nanos now) {
     const std::string kind = message.at("k");
-    if (kind == "news") {
+    if (kind == "news" || kind == "whole?") {
         gossip_.heard(link, message);
     } else if (kind == "lease" && link == up_) {
         const auto asked = asks_.find(message.at("t").get<std::uint64_t>());
@@ -127,9 +133,7 @@
         said_.push_back({up_, {{"k", "lease?"}, {"t", asked_}}});
     }
     if (up_ != 0 && now - grantedAt_ > barrenFor) {
-        auto& [until, pause] = barren_[upAddress_];
-        pause = std::clamp(2 * pause, shunned, shunnedMost);
-        until = now + pause;
+        shun(upAddress_, now);
         grantedAt_ = now;
     }
 }
--- a/src/courier/courier.hpp
+++ b/src/courier/courier.hpp
@@ -28,8 +28,10 @@
     std::vector<std::string> parents() const;
     // The upward link is that of `address`; 0 as `link`: it is lost.
     void upward(int link, const std::string& address, Nanos now);
-    // Whether a better parent than the present one is known, so that the link ought to be moved.
-    bool betterParent() const;
+    // A better parent than the present one, to be tried while the link to that one stands; empty: none.
+    std::string betterParent() const;
+    // No link could be had to it: others go before it for a while, which doubles.
+    void shun(const std::string& address, Nanos now);
     void linkUp(int link, Nanos now);  // a courier below, or the proxy
     void linkDown(int link);
     void heard(int link, const Json& message, Nanos now);
--- a/src/courier/program.cpp
+++ b/src/courier/program.cpp
@@ -56,10 +56,14 @@
     void tick() {
         const Nanos now = parcel::steadyNow();
         if (ending_ && now - ending_ > millis(satchel_.grace_ms - 200)) return loop_.stop();
-        if (up_ && courier_.betterParent() && now - upAt_ > millis(500)) {
-            lost();
+        if (!dialling_ && now >= dialAt_) {
+            if (!up_) {
+                const auto parents = courier_.parents();
+                if (!parents.empty()) dial(parents[tries_++ % parents.size()], now);
+            } else if (const std::string better = courier_.betterParent(); !better.empty() && now - upAt_ > millis(500)) {
+                dial(better, now);
+            }
         }
-        if (!up_ && !dialling_ && now >= dialAt_) dial(now);
         courier_.tick(now);
         carryOut();
         ticker_.expires_after(std::chrono::milliseconds(100));
@@ -67,11 +71,8 @@
             if (!ec) tick();
         });
     }
-    void dial(Nanos now) {
-        const auto parents = courier_.parents();
-        if (parents.empty()) return;
-        // One after the other, from the best on after each success.
-        const std::string where = parents[tries_++ % parents.size()];
+    // The link that stands is given up only once the other is there.
+    void dial(const std::string& where, Nanos now) {
         dialling_ = true;
         dialAt_ = now + millis(100);
         auto made = std::make_shared<std::shared_ptr<parcel::Stream>>();
@@ -80,6 +81,7 @@
             tries_ = 0;
             const auto stream = *made;
             made->reset();
+            links_.erase(up_);
             up_ = ++lastLink_;
             upAt_ = parcel::steadyNow();
             auto link = std::make_shared<Link>(stream);
@@ -89,7 +91,11 @@
             spdlog::info("news comes from {}", where);
             carryOut();
         });
-        (*made)->start([](std::string_view) { return std::size_t(0); }, [this](bool) { dialling_ = false; });
+        (*made)->start([](std::string_view) { return std::size_t(0); },
+                       [this, where](bool) {
+                           dialling_ = false;
+                           courier_.shun(where, parcel::steadyNow());
+                       });
     }
     void below(std::shared_ptr<parcel::Stream> stream) {
         const int no = ++lastLink_;
--- a/src/sorting/office.cpp
+++ b/src/sorting/office.cpp
@@ -34,7 +34,7 @@
       incarnation_(std::move(incarnation)),
       gossip_([this](int link, Json message) { send(link, std::move(message)); },
               [this](const std::string& name, const board::Record& record) { news(name, record); }),
-      proposer_(self_),
+      proposer_(self_, [this](const std::string& name) -> const Slot& { return acceptor_.at(name); }),
       startedAt_(now) {
     now_ = now;
     for (const auto& [name, body] : disk) {
@@ -88,6 +88,8 @@
                 {"station", satchel_.station},
                 {"incarnation", incarnation_}});
     gossip_.join(link);
+    proposer_.reached(dialled);
+    flushProposer(now_);
 }
 
 void Office::linkDown(int link, Nanos now) {
@@ -161,7 +163,7 @@
             }
             adopt(std::move(core));
         }
-    } else if (kind == "news") {
+    } else if (kind == "news" || kind == "whole?") {
         gossip_.heard(link, message);
     } else if (kind == "prepare" || kind == "accept") {
         vote(link, message);
@@ -221,8 +223,13 @@
     const bool accepting = message.at("k") == "accept";
     const Slot before = acceptor_.at(name);
     if (accepting) {
-        taken = acceptor_.accept(name, ballot, message.at("v"));
-        if (taken && name.starts_with("lead/")) caution(name.substr(5), message["v"].at("seq"));
+        Json value = message.value("v", Json());
+        if (message.contains("p")) {
+            if (before.accepted != Ballot{message.at("pr"), message.at("pb")}) return;  // asked again, it gets the whole
+            value = before.value.patch(message["p"]);
+        }
+        taken = acceptor_.accept(name, ballot, value);
+        if (taken && name.starts_with("lead/")) caution(name.substr(5), value.at("seq"));
         if (taken) unsaid_.try_emplace(name, now_);
     } else {
         taken = acceptor_.promise(name, ballot);
@@ -235,7 +242,8 @@
         reply["b"] = ballot.by;
         reply["ar"] = slot.accepted.round;
         reply["ab"] = slot.accepted.by;
-        if (!accepting) reply["av"] = slot.value;
+        const bool known = !accepting && slot.accepted.round == message.at("hr") && slot.accepted.by == message.at("hb");
+        if (!accepting && !known) reply["av"] = slot.value;
     } else {
         reply["k"] = "refused";
         reply["r"] = slot.promised.round;
--- a/src/sorting/register.cpp
+++ b/src/sorting/register.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "board/board.hpp"
+
 namespace granitereel::sorting {
 
 Json written(const Slot& slot) {
@@ -51,25 +53,51 @@
 void Proposer::prepare(std::uint64_t no, Running& running, Nanos now) {
     running.ballot = {++highestRound_, self_};
     running.best = {};
-    running.was = running.value = nullptr;
+    running.was = running.value = running.patch = nullptr;
+    running.promised.clear();
     running.accepting = running.paused = false;
     running.answered.clear();
-    ask(no, running, now);
+    askAll(no, running, now);
 }
 
-// Sends the present round's question to all who have not answered it.
-void Proposer::ask(std::uint64_t no, Running& running, Nanos now) {
-    running.sentAt = now;
-    for (const std::string& voter : core_.voters) {
-        if (running.answered.count(voter)) continue;
-        Json message = {{"k", running.accepting ? "accept" : "prepare"}, {"n", running.change.name},
-                        {"r", running.ballot.round},                      {"b", running.ballot.by},
-                        {"t", no},
-                        {"e", core_.epoch},
-                        {"c", core_.voters}};
-        if (running.accepting) message["v"] = running.value;
-        said_.push_back({voter, std::move(message)});
+void Proposer::ask(std::uint64_t no, Running& running, const std::string& voter) {
+    Json message = {{"k", running.accepting ? "accept" : "prepare"},
+                    {"n", running.change.name},
+                    {"r", running.ballot.round},
+                    {"b", running.ballot.by},
+                    {"t", no},
+                    {"e", core_.epoch},
+                    {"c", core_.voters}};
+    if (running.accepting) {
+        // Who holds what the value was made from is told what changed, where that is shorter.
+        const auto held = running.promised.find(voter);
+        if (!running.patch.is_null() && held != running.promised.end() && held->second == running.best) {
+            message["p"] = running.patch;
+            message["pr"] = running.best.round;
+            message["pb"] = running.best.by;
+            running.promised.erase(held);  // if it is asked again, the whole
+        } else {
+            message["v"] = running.value;
+        }
+    } else {
+        const Slot& held = held_(running.change.name);
+        message["hr"] = held.accepted.round;
+        message["hb"] = held.accepted.by;
     }
+    said_.push_back({voter, std::move(message)});
+}
+
+// The present round's question, to all who have not answered it.
+void Proposer::askAll(std::uint64_t no, Running& running, Nanos now) {
+    running.sentAt = now;
+    for (const std::string& voter : core_.voters)
+        if (!running.answered.count(voter)) ask(no, running, voter);
+}
+
+void Proposer::reached(const std::string& voter) {
+    if (!core_.voters.count(voter)) return;
+    for (auto& [no, running] : running_)
+        if (!running.paused && !running.answered.count(voter)) ask(no, running, voter);
 }
 
 void Proposer::heard(const std::string& from, const Json& answer, Nanos now) {
@@ -94,8 +122,10 @@
     if (!running.accepting) {
         held = {answer.at("ar"), answer.at("ab")};
         if (running.best < held) {
+            // What it does not send is what this member held when it asked.
+            if (!answer.contains("av") && held_(running.change.name).accepted != held) return ask(found->first, running, from);
+            running.was = answer.contains("av") ? answer["av"] : held_(running.change.name).value;
             running.best = held;
-            running.was = answer.at("av");
         }
     }
     running.answered[from] = held;
@@ -113,8 +143,9 @@
     if (!running.change.anew && value == running.was && static_cast<std::size_t>(same) >= majority) return end(no, std::move(value));
     running.value = std::move(value);
     running.accepting = true;
-    running.answered.clear();
-    ask(no, running, now);
+    running.promised = std::exchange(running.answered, {});
+    running.patch = board::shorter(running.was, running.value);
+    askAll(no, running, now);
 }
 
 void Proposer::core(Core core, Nanos now) {
@@ -135,7 +166,7 @@
         else if (running.paused && now >= running.resumeAt)
             prepare(no, running, now);
         else if (!running.paused && now - running.sentAt >= again)
-            ask(no, running, now);
+            askAll(no, running, now);
     }
     for (const std::uint64_t no : over) end(no, std::nullopt);
 }
--- a/src/sorting/register.hpp
+++ b/src/sorting/register.hpp
@@ -75,9 +75,13 @@
 public:
     struct Said {
         std::string to;
-        Json message;  // {"k": "prepare" | "accept", "n", "r", "b", "t", "e": epoch, "c": voters, ("v")}
+        // {"k": "prepare" | "accept", "n", "r", "b", "t", "e": epoch, "c": voters, ("v")}; a question's "hr", "hb" say
+        // which accepted value the asker holds itself, so that it need not be sent.
+        Json message;
     };
-    explicit Proposer(std::string self) : self_(std::move(self)) {}
+    // `held`: what this member's own acceptor holds of a register.
+    using Held = std::function<const Slot&(const std::string& name)>;
+    Proposer(std::string self, Held held) : self_(std::move(self)), held_(std::move(held)) {}
 
     // What is under way begins anew with the voters of a later epoch.
     void core(Core core, Nanos now);
@@ -86,30 +90,34 @@
     void forgets(const std::string& voter);
 
     void begin(Change change, Nanos now, Nanos until);
-    // An answer to a message of ours: {"k": "promised" | "accepted" | "refused", "t", "r", "b", ("av", "ar", "ab")}.
+    // A link to this voter is there anew: what it has not answered is asked again.
+    void reached(const std::string& voter);
+    // An answer to a message of ours: {"k": "promised" | "accepted" | "refused", "t", "r", "b", ("ar", "ab", "av")}.
     void heard(const std::string& from, const Json& answer, Nanos now);
     void tick(Nanos now);
     std::vector<Said> takeSaid() { return std::exchange(said_, {}); }
     bool idle() const { return running_.empty(); }
-    // What a member that answered nothing is asked again after.
-    static constexpr Nanos again = millis(150);
+    // Links carry what is sent or end, so questions are repeated seldom: a voter may have had no vote yet.
+    static constexpr Nanos again = millis(400);
 
 private:
     struct Running {
         Change change;
         Nanos until = 0, sentAt = 0, resumeAt = 0;
         Ballot ballot, best;
-        Json was, value;
+        Json was, value, patch;
         bool accepting = false, paused = false;
-        std::map<std::string, Ballot> answered;  // with what each had accepted
+        std::map<std::string, Ballot> answered, promised;  // with what each had accepted
         int clashes = 0;
     };
     void prepare(std::uint64_t no, Running& running, Nanos now);
-    void ask(std::uint64_t no, Running& running, Nanos now);
+    void ask(std::uint64_t no, Running& running, const std::string& voter);
+    void askAll(std::uint64_t no, Running& running, Nanos now);
     void proceed(std::uint64_t no, Running& running, Nanos now);
     void end(std::uint64_t no, std::optional<Json> value);
 
     std::string self_;
+    Held held_;
     Core core_;
     std::map<std::uint64_t, Running> running_;
     std::uint64_t nextNo_ = 1, highestRound_ = 0;
