Settle registers in turn, and only what nobody has said to stand

Change: what the board holds already is not settled; members take turns; a clash pauses in proportion to a round's time; a change that ends without a majority is logged with who answered.

--- a/src/sorting/office.cpp
+++ b/src/sorting/office.cpp
@@ -111,15 +111,32 @@
     unsaid_.erase(name);
 }
 
+namespace {
+// The version under which a register's value is a record for all.
+board::Version versionOf(const std::string& name, const Json& value) {
+    const char* const field = name == "config" ? "edition" : name == "core" ? "epoch" : "seq";
+    return {value.at(field).get<std::uint64_t>(), 0};
+}
+}  // namespace
+
+bool Office::said(const std::string& name, const Json& value) const {
+    const board::Record* record = board().find(name);
+    return record && record->version >= versionOf(name, value);
+}
+
 // A register's value that is known to stand becomes a record for all.
 void Office::learn(const std::string& name, const Json& value) {
-    if (value.is_null()) return;
-    if (name == "config")
-        gossip_.put(name, {{value.at("edition").get<std::uint64_t>(), 0}, value});
-    else if (name == "core")
-        gossip_.put(name, {{value.at("epoch").get<std::uint64_t>(), 0}, value});
-    else if (name.starts_with("lead/"))
-        gossip_.put(name, {{value.at("seq").get<std::uint64_t>(), 0}, value});
+    if (!value.is_null()) gossip_.put(name, {versionOf(name, value), value});
+}
+
+// How many voters in reach come before this one: what any may do the first does, the next if it has not.
+std::size_t Office::rank() const {
+    std::size_t before = 0;
+    for (const std::string& voter : core_.voters) {
+        if (voter == self_) break;
+        before += here(voter);
+    }
+    return before;
 }
 
 void Office::heard(int link, const Json& message, Nanos now) {
@@ -230,7 +247,7 @@
         }
         taken = acceptor_.accept(name, ballot, value);
         if (taken && name.starts_with("lead/")) caution(name.substr(5), value.at("seq"));
-        if (taken) unsaid_.try_emplace(name, now_);
+        if (taken && !said(name, value)) unsaid_.try_emplace(name, now_);
     } else {
         taken = acceptor_.promise(name, ballot);
     }
@@ -462,11 +479,12 @@
     if (!core_.epoch || recovering_ || now - readAt_ < millis(100)) return;
     readAt_ = now;
     std::vector<std::string> names;
+    const Nanos turn = unsaidFor + static_cast<Nanos>(rank()) * millis(300);
     if (now - startedAt_ < millis(30'000))
         for (const auto& [name, slot] : acceptor_.all())
-            if (!slot.value.is_null() && !board().find(name)) unsaid_.try_emplace(name, now);
+            if (!slot.value.is_null() && !said(name, slot.value)) unsaid_.try_emplace(name, now);
     for (auto& [name, since] : unsaid_)
-        if (now - since >= unsaidFor) names.push_back(name), since = now;
+        if (now - since >= turn) names.push_back(name), since = now;
     for (const std::string& name : names)
         proposer_.begin({name, [](const Json& was) { return was; },
                          [this, name](std::optional<Json> stands) {
@@ -518,10 +536,6 @@
         }
         return;
     }
-    // The first in order of those in reach acts; two that think so clash at the register, and one goes on.
-    std::string acts;
-    for (const std::string& voter : core_.voters)
-        if (acts.empty() && here(voter)) acts = voter;
     std::set<std::string> present, away;
     for (const auto& [link, peer] : peers_)
         if (!peer.member.empty()) present.insert(peer.member);
@@ -533,7 +547,8 @@
     }
     std::erase_if(memberSince_, [&](const auto& each) { return !present.count(each.first); });
     for (const std::string& member : present) memberSince_.try_emplace(member, now);
-    if (acts != self_) return;
+    // Two that think themselves the first clash at the register, and one goes on.
+    if (rank() > 0) return;
     Reform reform;
     reform.to = core_;
     ++reform.to.epoch;
@@ -575,6 +590,7 @@
                 {{"station", satchel_.station}, {"district", satchel_.district}, {"ip", satchel_.ip}});
     rounds(now);
     proposer_.tick(now);
+    for (std::string& text : proposer_.takeFailures()) outputs_.push_back(ToLog{std::move(text)});
     if (recovering_ && now - recovery_.askedAt >= millis(300)) {
         recovery_.askedAt = now;
         for (const std::string& voter : core_.voters)
--- a/src/sorting/office.hpp
+++ b/src/sorting/office.hpp
@@ -67,6 +67,8 @@
     void configSent(std::uint64_t call, const std::string& body, Nanos now);
     void configAsked(std::uint64_t call, Nanos now);
     void learn(const std::string& name, const Json& value);
+    bool said(const std::string& name, const Json& value) const;
+    std::size_t rank() const;
     void vote(int link, const Json& message);
     void flushProposer(Nanos now);
     void adopt(Core core);
--- a/src/sorting/register.cpp
+++ b/src/sorting/register.cpp
@@ -110,11 +110,13 @@
         // `r`, `b`: what it has promised; so the next try is above it.
         highestRound_ = std::max(highestRound_, ballot.round);
         if (running.paused || ballot <= running.ballot) return;
-        // Two at once: the pause grows, and is longer by a part that their names make differ.
+        // Two at once: the pause grows with how long a round takes here, and by a part that their names make differ,
+        // so that one of them gets through.
         running.paused = true;
         running.clashes = std::min(running.clashes + 1, 6);
-        const Nanos part = millis(static_cast<std::int64_t>(std::hash<std::string>()(self_) % 16));
-        running.resumeAt = now + (millis(4) + part) * running.clashes;
+        const Nanos round = std::min(now - running.sentAt, millis(200)) + millis(4);
+        const auto part = static_cast<Nanos>(std::hash<std::string>()(self_ + std::to_string(running.ballot.round)) % 64);
+        running.resumeAt = now + round * running.clashes * (32 + part) / 32;
         return;
     }
     if (running.paused || ballot != running.ballot || (kind == "accepted") != running.accepting) return;
@@ -168,7 +170,16 @@
         else if (!running.paused && now - running.sentAt >= again)
             askAll(no, running, now);
     }
-    for (const std::uint64_t no : over) end(no, std::nullopt);
+    for (const std::uint64_t no : over) {
+        const Running& running = running_.at(no);
+        std::string text = running.change.name + ": no majority; " + (running.accepting ? "accepted by" : "promised by");
+        for (const auto& [voter, held] : running.answered) text += " " + voter;
+        text += " of";
+        for (const std::string& voter : core_.voters) text += " " + voter;
+        if (running.paused) text += ", clashing at round " + std::to_string(highestRound_);
+        failures_.push_back(std::move(text));
+        end(no, std::nullopt);
+    }
 }
 
 void Proposer::end(std::uint64_t no, std::optional<Json> value) {
--- a/src/sorting/register.hpp
+++ b/src/sorting/register.hpp
@@ -96,7 +96,8 @@
     void heard(const std::string& from, const Json& answer, Nanos now);
     void tick(Nanos now);
     std::vector<Said> takeSaid() { return std::exchange(said_, {}); }
-    bool idle() const { return running_.empty(); }
+    // What the changes that ended without a majority were short of, for the log.
+    std::vector<std::string> takeFailures() { return std::exchange(failures_, {}); }
     // Links carry what is sent or end, so questions are repeated seldom: a voter may have had no vote yet.
     static constexpr Nanos again = millis(400);
 
@@ -122,6 +123,7 @@
     std::map<std::uint64_t, Running> running_;
     std::uint64_t nextNo_ = 1, highestRound_ = 0;
     std::vector<Said> said_;
+    std::vector<std::string> failures_;
 };
 
 }  // namespace granitereel::sorting
