--- a/src/counter/pooler.cpp
+++ b/src/counter/pooler.cpp
@@ -218,6 +218,15 @@
         drop(*line);
         if (s) lost(*s, *line);
     }
+    // What only waited for a connection there goes to the next lead at once.
+    const auto at = of.stores.find(before);
+    if (at == of.stores.end()) return;
+    for (const int client : std::exchange(at->second->waiting, {})) {
+        const auto who = sessions_.find(client);
+        if (who == sessions_.end() || !who->second->op || who->second->op->store != at->second) continue;
+        Op& op = *who->second->op;
+        report(op.key, op.launches - 1, *at->second, Ending::unsent, op.launchedAt, {}, false);
+    }
 }
 
 bool Pooler::provable(const Service& of) const {
--- a/src/sorting/succession.cpp
+++ b/src/sorting/succession.cpp
@@ -199,6 +199,7 @@
     planned_ = planned;
     rows_.clear();
     paused_.clear();
+    refused_.clear();
     target_.clear();
     deadHeard_ = false;
     to(Phase::guarding, now);
@@ -234,7 +235,7 @@
     }
     pauseTerm_ = std::max(pauseTerm_, lead_.term + 1);
     for (const std::string& store : others) {
-        if (planned_ && store == target_)
+        if ((planned_ && store == target_) || refused_.erase(store))
             ask(store, Ask::status, "STATUS", statusWithin_ms, now);
         else if (!paused_.count(store))
             ask(store, Ask::pause, "PAUSE " + std::to_string(pauseTerm_), statusWithin_ms, now);
@@ -331,8 +332,12 @@
             return guard(now, false);
         case Phase::pausing:
             if (!row) {
-                // Perhaps it was paused and the answer was lost; the same term would be refused then.
-                if (asked.what == Ask::pause) ++pauseTerm_;
+                // Perhaps it was paused and the answer was lost, as the same term would be refused then; or it leads
+                // by now. It is asked how it is, then paused above that.
+                if (asked.what == Ask::pause) {
+                    ++pauseTerm_;
+                    refused_.insert(asked.store);
+                }
                 return;
             }
             if (asked.store == lead_.store) {
@@ -347,10 +352,10 @@
                 target_ = asked.store;
                 return settle(asked.store, row->term, now);
             }
-            if (asked.what == Ask::pause) {
-                if (row->held <= lead_.term) return;  // not held: asked again
+            if (row->held > lead_.term)
                 paused_.insert(asked.store);
-            }
+            else if (!planned_ || asked.store != target_)
+                return;  // it still receives: what it says of its position does not last
             rows_[asked.store] = *row;
             return weigh(now);
         case Phase::settling:
--- a/src/sorting/succession.hpp
+++ b/src/sorting/succession.hpp
@@ -96,7 +96,7 @@
     std::uint64_t pauseTerm_ = 0;
     std::string target_;
     std::map<std::string, StoreRow> rows_;
-    std::set<std::string> paused_;
+    std::set<std::string> paused_, refused_;  // refused_: answered a PAUSE with none of its rows
     std::map<std::uint64_t, Ask> asks_;
 };
 
--- a/src/waybill/waybill.cpp
+++ b/src/waybill/waybill.cpp
@@ -64,8 +64,10 @@
     if (!validator.validate(schema(), valijson::adapters::NlohmannJsonAdapter(body), &faults)) {
         valijson::ValidationResults::Error fault;
         std::string text = "not of the form";
-        // The last one told is the innermost.
-        while (faults.popError(fault)) {
+        // Told of each level that holds it: the innermost says where it is.
+        for (std::size_t depth = 0; faults.popError(fault);) {
+            if (fault.context.size() < depth) continue;
+            depth = fault.context.size();
             text.clear();
             for (const std::string& step : fault.context) text += step;
             text += ": " + fault.description;
--- /dev/null
+++ b/standins/databases.hpp
@@ -0,0 +1,82 @@
+// A service's stores as the pages tell of them: a log with terms and positions, replicas that receive and apply, a
+// platform that promotes, and connections that hold values, prepared names and a transaction. Free of I/O: a line in,
+// lines out. It keeps what an auditor needs: which writes took effect how often, and which reads missed what.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mark.hpp"
+
+namespace granitereel::standins {
+
+class Databases {
+public:
+    // Stores "s0", "s1", ...; s0 leads term 1. `sync`: replicas that must have a commit before it is answered.
+    Databases(std::string service, int stores, int sync);
+
+    // A connection to a store; lines said over it get their answers. None: the store says nothing (dark, or its
+    // answer is lost).
+    int connect(const std::string& store);
+    std::optional<std::string> said(int connection, const std::string& line);
+    void closed(int connection);
+
+    // The platform's part. Whether the store leads, with what it had received.
+    bool promote(const std::string& store);
+    // Faults. Deaf: receives nothing. Dark: answers nothing, runs nothing. A crash cuts its connections.
+    void deaf(const std::string& store, bool on) { stores_.at(store).deaf = on; }
+    void dark(const std::string& store, bool on) { stores_.at(store).dark = on; }
+    void slow(const std::string& store, bool on);  // received is not applied until it ends
+    void loseNextAnswer(const std::string& store, bool on = true) { stores_.at(store).loses = on; }
+    void refuseNext(const std::string& store, const std::string& error) { stores_.at(store).refuses = error; }
+
+    const std::string& lead() const { return lead_; }
+    std::uint64_t term() const { return term_; }
+    const std::string& service() const { return service_; }
+    std::string roleOf(const std::string& store) const { return store == lead_ ? "head_office" : "branch_office"; }
+    std::vector<std::string> names() const;
+
+    // What the auditor sees.
+    int effects(const std::string& write) const;        // of a write, by its text, in the lead's log
+    std::vector<std::string> faults() const { return faults_; }  // broken rules, in words
+    std::set<std::string> ranOn(const std::string& id) const;    // connections that ran a statement, by its id
+
+private:
+    struct Entry {
+        Mark at;
+        std::vector<std::string> writes;
+    };
+    struct Store {
+        std::vector<Entry> log;
+        std::size_t applied = 0;
+        std::uint64_t paused = 0;
+        bool deaf = false, dark = false, slow = false, loses = false;
+        std::string refuses;
+    };
+    struct Connection {
+        std::string store;
+        bool greeted = false, tx = false, plain = false, failed = false;
+        std::uint64_t txTerm = 0;
+        std::map<std::string, std::string> values, prepared;
+        std::vector<std::string> writes;
+    };
+    std::string ready(const Connection& c) const;
+    std::string failed(Connection& c, const std::string& error);
+    std::optional<std::string> commit(Connection& c);
+    void replicate();
+
+    std::string service_, lead_;
+    int sync_;
+    std::uint64_t term_ = 1, next_ = 1;
+    std::map<std::string, Store> stores_;
+    std::map<int, Connection> connections_;
+    int lastConnection_ = 0, stamp_ = 0;
+    std::map<std::string, std::set<std::string>> ran_;
+    std::vector<std::string> faults_;
+};
+
+}  // namespace granitereel::standins
--- /dev/null
+++ b/standins/poolerrig.cpp
@@ -0,0 +1,196 @@
+#include "poolerrig.hpp"
+
+namespace granitereel::standins {
+
+using counter::CloseLine;
+using counter::EndClient;
+using counter::OpenLine;
+using counter::ToClient;
+using counter::ToCourier;
+using counter::ToLine;
+using nlohmann::json;
+
+namespace {
+satchel::Satchel settings() {
+    satchel::Satchel s;
+    s.station = "counter-1";
+    s.district = "here";
+    s.drain_ms = 7000;
+    s.grace_ms = 6000;
+    return s;
+}
+}  // namespace
+
+PoolerRig::PoolerRig(int stores, int sync) : databases("svc", stores, sync) {
+    pooler = std::make_unique<counter::Pooler>(settings(), 7, now);
+    pooler->courierUp(now);
+    config(1);
+    for (const std::string& store : databases.names()) standing(store, "accepting");
+    lead(databases.lead());
+    carry();
+    pass(millis(1));
+}
+
+void PoolerRig::config(std::uint64_t edition, bool bounded) {
+    json routes = json::array();
+    auto route = [&](const char* name, const char* mode, int staleness) {
+        routes.push_back({{"label", name}, {"hostname", name}, {"path_prefix", "/"}, {"mode", mode}, {"depot", "svc"},
+                          {"deadline_ms", 1000}, {"target_ms", 200}, {"precedence", 1}, {"tries", 2},
+                          {"staleness_ms", staleness}});
+    };
+    route("primary", "head_office", 0);
+    if (bounded) route("bounded", "age_bounded", 1500);
+    route("mine", "own", 2500);
+    pooler->courierSaid(
+        {{"k", "news"},
+         {"r", {{{"n", "config"}, {"v", {edition, 0}},
+                 {"b", {{"edition", edition}, {"itineraries", routes},
+                        {"depots", {{{"label", "svc"}, {"berth_cap", 40}, {"sync_replicas", 1}}}},
+                        {"limits", {{"tx_idle_ms", 3000}}}}}}}}},
+        now);
+    carry();
+}
+
+void PoolerRig::standing(const std::string& store, const std::string& standing, const std::string& role) {
+    json body{{"service", "svc"}, {"address", store}, {"district", "here"}, {"standing", standing},
+              {"role", role.empty() ? databases.roleOf(store) : role}};
+    if (standing.empty()) body = nullptr;
+    pooler->courierSaid({{"k", "news"}, {"r", {{{"n", "store/" + store}, {"v", {++version_, 0}}, {"b", body}}}}}, now);
+    carry();
+}
+
+void PoolerRig::lead(const std::string& store, bool steady) {
+    pooler->courierSaid(
+        {{"k", "news"},
+         {"r", {{{"n", "lead/svc"}, {"v", {++seq_, 0}},
+                 {"b", {{"store", store}, {"term", databases.term()}, {"seq", seq_}, {"steady", steady}}}}}}},
+        now);
+    carry();
+}
+
+int PoolerRig::client(const std::string& database) {
+    const int no = ++lastClient_;
+    pooler->clientCame(no, now);
+    say(no, "GREET " + database + " u");
+    return no;
+}
+
+void PoolerRig::say(int client, const std::string& line) {
+    pooler->clientSaid(client, line, now);
+    carry();
+}
+
+void PoolerRig::leave(int client) {
+    pooler->clientLeft(client, now);
+    carry();
+}
+
+std::vector<std::string> PoolerRig::told(int client) {
+    std::vector<std::string> lines;
+    std::string all = std::exchange(said_[client], {});
+    for (std::size_t cut; (cut = all.find("\r\n")) != all.npos; all.erase(0, cut + 2)) lines.push_back(all.substr(0, cut));
+    return lines;
+}
+
+void PoolerRig::carry() {
+    for (auto outputs = pooler->take(); !outputs.empty(); outputs = pooler->take())
+        for (auto& output : outputs) {
+            if (auto* out = std::get_if<ToClient>(&output)) said_[out->client] += out->bytes;
+            if (auto* out = std::get_if<EndClient>(&output)) ended_.insert(out->client);
+            if (auto* out = std::get_if<OpenLine>(&output)) {
+                lines_[out->line] = {out->address, 0, {}};
+                opening_.push_back(out->line);
+            }
+            if (auto* out = std::get_if<ToLine>(&output)) {
+                const auto at = lines_.find(out->line);
+                if (at != lines_.end())
+                    at->second.requests.push_back(out->bytes.substr(0, out->bytes.size() - 2));
+            }
+            if (auto* out = std::get_if<CloseLine>(&output)) {
+                const auto at = lines_.find(out->line);
+                if (at == lines_.end()) continue;
+                // What was on its way still arrives; its answer reaches nobody.
+                for (const std::string& request : at->second.requests)
+                    if (at->second.connection) databases.said(at->second.connection, request);
+                if (at->second.connection) databases.closed(at->second.connection);
+                lines_.erase(at);
+            }
+            if (auto* out = std::get_if<ToCourier>(&output)) {
+                toCourier.push_back(out->message);
+                if (leases && out->message.value("k", "") == "lease?")
+                    pooler->courierSaid({{"k", "lease"}, {"t", out->message["t"]}, {"left", 700'000}, {"c", json::object()}},
+                                        now);
+            }
+        }
+}
+
+bool PoolerRig::step() {
+    if (!opening_.empty()) {
+        const int no = opening_.front();
+        opening_.pop_front();
+        if (!lines_.count(no)) return true;
+        lines_[no].connection = databases.connect(lines_[no].store);
+        pooler->lineOpened(no, now);
+        carry();
+        return true;
+    }
+    for (auto& [no, line] : lines_) {
+        if (line.requests.empty()) continue;
+        const std::string request = line.requests.front();
+        line.requests.pop_front();
+        const auto answer = databases.said(line.connection, request);
+        if (!answer) return true;
+        const int line_ = no;
+        std::string all = *answer;
+        for (std::size_t cut; (cut = all.find("\r\n")) != all.npos; all.erase(0, cut + 2))
+            pooler->lineSaid(line_, all.substr(0, cut), now);
+        carry();
+        return true;
+    }
+    return false;
+}
+
+void PoolerRig::run(Nanos time) {
+    for (const Nanos until = now + time;;) {
+        while (step()) {
+        }
+        if (now >= until) return;
+        now += millis(5);
+        pooler->tick(now);
+        carry();
+    }
+}
+
+std::vector<std::string> PoolerRig::ask(int client, const std::string& line) {
+    say(client, line);
+    std::vector<std::string> all = told(client);
+    for (int i = 0; i < 800 && (all.empty() || !all.back().starts_with("READY")); ++i) {
+        run(millis(5));
+        for (std::string& each : told(client)) all.push_back(std::move(each));
+    }
+    return all;
+}
+
+void PoolerRig::pass(Nanos time) {
+    for (const Nanos until = now + time; now < until;) {
+        now = std::min(now + millis(20), until);
+        pooler->tick(now);
+        carry();
+    }
+}
+
+void PoolerRig::cutAll(const std::string& store) {
+    std::vector<int> cut;
+    for (auto& [no, line] : lines_)
+        if (line.store == store) cut.push_back(no);
+    for (const int no : cut) {
+        const auto at = lines_.find(no);
+        if (at == lines_.end()) continue;
+        if (at->second.connection) databases.closed(at->second.connection);
+        lines_.erase(at);
+        pooler->lineEnded(no, false, now);
+        carry();
+    }
+}
+
+}  // namespace granitereel::standins
--- /dev/null
+++ b/tests/system/inputs.cpp
@@ -0,0 +1,165 @@
+// What is read from outside: the wire's lines, settings, configurations, positions; and the agent's choice of parents.
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "board/gossip.hpp"
+#include "counter/horizon.hpp"
+#include "counter/wire.hpp"
+#include "courier/courier.hpp"
+#include "satchel/satchel.hpp"
+
+namespace {
+using namespace granitereel;
+using counter::Horizon;
+using counter::readStatement;
+using Kind = counter::Statement::Kind;
+
+TEST(Wire, ReadsEachTextAndNothingElse) {
+    const std::pair<const char*, Kind> texts[] = {
+        {"BEGIN", Kind::begin},          {"BEGIN READ", Kind::beginRead}, {"COMMIT", Kind::commit},
+        {"ABORT", Kind::abort},          {"READ a b", Kind::read},        {"WRITE a b c", Kind::write},
+        {"SET n v w", Kind::set},        {"PARSE s READ x y", Kind::parse}, {"EXECUTE s t d", Kind::execute},
+        {"CLOSE s", Kind::close},        {"BEGIN WRITE", Kind::malformed}, {"COMMIT now", Kind::malformed},
+        {"PARSE s READ", Kind::malformed}, {"EXECUTE s", Kind::malformed}, {"", Kind::malformed},
+        {"STATUS", Kind::malformed},     {"PAUSE 3", Kind::malformed},    {"AFTER 1.1 READ x", Kind::malformed},
+        {"RESET", Kind::malformed}};
+    for (const auto& [text, kind] : texts) EXPECT_EQ(readStatement("q", text).kind, kind) << text;
+    EXPECT_EQ(readStatement("q", "PARSE s WRITE x y").value, "x y");
+    EXPECT_EQ(readStatement("q", "EXECUTE s t d e").thing, "t d e");
+    EXPECT_EQ(counter::errorOf("LAGGING"), counter::Error::lagging);
+    EXPECT_EQ(counter::errorOf("SOMETHING"), counter::Error::other);
+}
+
+TEST(Marks, CompareByTermFirst) {
+    EXPECT_LT(*readMark("2.900"), *readMark("3.1"));
+    for (const char* bad : {"", "-", "3", "3.", ".4", "3.4.5", "a.b", "3.4x"}) EXPECT_FALSE(readMark(bad)) << bad;
+    EXPECT_EQ(written(*readMark("3.1207")), "3.1207");
+}
+
+TEST(Horizon, CoversWhatWasAcknowledgedBefore) {
+    Horizon horizon;
+    EXPECT_FALSE(horizon.covering(0));
+    horizon.saw({1, 10}, millis(1000));
+    horizon.saw({1, 8}, millis(1100));  // overtaken on its way: shows less, and covers as much as the one before
+    horizon.saw({1, 20}, millis(1200));
+    horizon.saw({2, 21}, millis(1300));
+    EXPECT_EQ(*horizon.covering(millis(900)), (Mark{1, 10}));
+    EXPECT_EQ(*horizon.covering(millis(1100)), (Mark{1, 10}));
+    EXPECT_EQ(*horizon.covering(millis(1101)), (Mark{1, 20}));
+    EXPECT_FALSE(horizon.covering(millis(1301)));
+    EXPECT_EQ(*horizon.covering(millis(900), 2), (Mark{2, 21}));
+    EXPECT_EQ(*horizon.holds({1, 15}), millis(1100));
+    EXPECT_FALSE(horizon.holds({1, 9}));
+    EXPECT_EQ(*horizon.holds({3, 1}), millis(1300));
+}
+
+std::string settings(const std::string& text) {
+    const std::string path = testing::TempDir() + "local.toml";
+    std::ofstream(path) << text;
+    return path;
+}
+
+TEST(Satchel, SaysWhatIsWrongAndWhere) {
+    const std::string sound =
+        "station = \"a\"\nip_addr = \"10.0.0.1\"\ndistrict = \"d\"\nspare_ports = [7000, 7010]\n"
+        "seed_list = [\"10.0.0.2:80\"]\nnovelty = 3\n[guarantees]\ngrace_s = 2.5\n";
+    const auto read = satchel::read(settings(sound));
+    EXPECT_EQ(read.station, "a");
+    EXPECT_EQ(read.grace_ms, 2500);
+    auto fault = [](const std::string& text) -> std::string {
+        try {
+            satchel::read(settings(text));
+        } catch (const satchel::Unusable& unusable) {
+            return unusable.what();
+        }
+        return "none";
+    };
+    EXPECT_NE(fault(sound + "station = \n").find("line 9"), std::string::npos) << fault(sound + "station = \n");
+    EXPECT_NE(fault("ip_addr = \"x\"\n").find("'station'"), std::string::npos);
+    std::string ports = sound;
+    ports.replace(ports.find("[7000, 7010]"), 12, "[7010, 7000]");
+    EXPECT_NE(fault(ports).find("spare_ports"), std::string::npos);
+    EXPECT_NE(fault("station = 3\n").find("another type"), std::string::npos);
+}
+
+// Two boards over a link that may lose what is under way with itself: a snapshot and changes bring them together, by
+// patches where both hold the version before and by the whole where not.
+TEST(Gossip, BringsTogetherBySnapshotAndChanges) {
+    std::vector<std::pair<int, nlohmann::json>> fromA, fromB;
+    int newsAtB = 0;
+    board::Gossip a([&](int link, auto message) { fromA.emplace_back(link, message); }, [](auto&, auto&) {});
+    board::Gossip b([&](int link, auto message) { fromB.emplace_back(link, message); }, [&](auto&, auto&) { ++newsAtB; });
+    nlohmann::json body;
+    for (int i = 0; i < 200; ++i) body["routes"]["r" + std::to_string(i)] = {{"deadline_ms", i}, {"depot", "d"}};
+    a.put("config", {{1, 0}, body});
+    a.join(1), b.join(1);
+    auto exchange = [&](bool lose = false) {
+        std::size_t bytes = 0;
+        while (!fromA.empty() || !fromB.empty()) {
+            for (auto& [link, message] : std::exchange(fromA, {})) {
+                bytes += message.dump().size();
+                if (!lose) b.heard(1, message);
+            }
+            for (auto& [link, message] : std::exchange(fromB, {})) a.heard(1, message);
+        }
+        return bytes;
+    };
+    const std::size_t whole = exchange();
+    body["routes"]["r7"]["deadline_ms"] = 999;
+    a.put("config", {{2, 0}, body});
+    EXPECT_LT(exchange(), whole / 10);
+    EXPECT_EQ(b.board().find("config")->body, body);
+    body["routes"]["r8"]["deadline_ms"] = 999;
+    a.put("config", {{3, 0}, body});
+    exchange(true);
+    body["routes"].erase("r9");
+    a.put("config", {{4, 0}, body});
+    exchange();  // the patch from 3 does not fit: the whole is asked for
+    EXPECT_EQ(b.board().find("config")->body, body);
+    a.put("config", {{3, 0}, nullptr});  // older: nothing happens
+    exchange();
+    EXPECT_EQ(b.board().find("config")->body, body);
+    EXPECT_EQ(newsAtB, 3);
+}
+
+TEST(Courier, PrefersItsDistrictAndLeavesParentsWithoutALease) {
+    satchel::Satchel s;
+    s.station = "counter-1";
+    s.ip = "10.0.0.9";
+    s.district = "here";
+    s.seeds = {"10.1.0.1:80", "10.2.0.1:80"};
+    Nanos now = millis(1000);
+    courier::Courier courier(s, now);
+    EXPECT_EQ(courier.parents().size(), 2u);
+    auto news = [&](const std::string& name, const char* ip, const char* district) {
+        courier.heard(5, {{"k", "news"}, {"r", {{{"n", name}, {"v", {1, 0}}, {"b", {{"ip", ip}, {"district", district}}}}}}}, now);
+    };
+    courier.upward(5, "10.1.0.1", now);
+    news("member/10.1.0.1:80", "10.1.0.1", "far");
+    news("member/10.2.0.1:80", "10.2.0.1", "here");
+    EXPECT_EQ(courier.betterParent(), "10.2.0.1");
+    courier.upward(6, "10.2.0.1", now);
+    EXPECT_EQ(courier.betterParent(), "");
+    courier.take();
+    for (int i = 0; i < 5; ++i) {
+        courier.tick(now += millis(200));
+        for (const auto& said : courier.take())
+            if (said.message["k"] == "lease?")
+                courier.heard(6, {{"k", "lease"}, {"t", said.message["t"]}, {"left", 600'000}, {"c", nlohmann::json::object()}}, now);
+    }
+    EXPECT_EQ(courier.leaseUntil(), now + millis(600));
+    for (int i = 0; i < 6; ++i) courier.tick(now += millis(200));
+    EXPECT_LT(courier.leaseUntil(), now);
+    EXPECT_EQ(courier.betterParent(), "10.1.0.1");
+    // Where no member is in the district, its couriers agree on who passes on.
+    satchel::Satchel other = s;
+    other.station = "counter-2", other.ip = "10.0.0.8", other.district = "lonely";
+    s.district = "lonely";
+    courier::Courier one(s, now), two(other, now);
+    for (auto* each : {&one, &two})
+        for (const auto& [name, ip] : {std::pair{"front/counter-1", "10.0.0.9"}, {"front/counter-2", "10.0.0.8"}})
+            each->heard(1, {{"k", "news"}, {"r", {{{"n", name}, {"v", {9, 0}}, {"b", {{"ip", ip}, {"district", "lonely"}}}}}}}, now);
+    EXPECT_NE(one.parents().front() == "10.0.0.8", two.parents().front() == "10.0.0.9");
+}
+}  // namespace
--- /dev/null
+++ b/tests/system/processes.cpp
@@ -0,0 +1,147 @@
+// The real processes on loopback, among stand-in stores and a platform: served, killed, stopped, wiped, told to end.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+
+#include "standins/site.hpp"
+
+namespace {
+using granitereel::standins::Databases;
+using granitereel::standins::Site;
+using granitereel::standins::WireClient;
+using Lines = std::vector<std::string>;
+
+std::string first(const Lines& lines) {
+    return lines.empty() ? "" : lines.front();
+}
+
+void startAll(Site& site, int members) {
+    for (int i = 0; i < members; ++i) site.start("sorting-" + std::to_string(i));
+    site.start("courier");
+    site.start("counter");
+    ASSERT_TRUE(site.until([&] { return site.put(0, "/config", site.configuration(1)) == 200; }));
+    ASSERT_TRUE(site.until([&] { return site.ready() == 200; }));
+    ASSERT_TRUE(site.until([&] {
+        WireClient client(site.frontAddress(), "primary");
+        return first(client.ask("QUERY warm" + std::to_string(std::rand()) + " READ x")).starts_with("ROW");
+    }));
+}
+
+TEST(Processes, ServeTakeChangesAndEndInOrder) {
+    Site site(3, 21000);
+    startAll(site, 3);
+    WireClient client(site.frontAddress(), "primary");
+    EXPECT_EQ(first(client.ask("QUERY b1 BEGIN")), "DONE -");
+    EXPECT_EQ(first(client.ask("QUERY w1 WRITE x 1")).substr(0, 4), "DONE");
+    EXPECT_EQ(first(client.ask("QUERY c1 COMMIT")).substr(0, 4), "DONE");
+    // Pipelined, in one write and cut in the middle.
+    client.send("QUERY p1 WRITE x 1\r\nQUERY p2 REA");
+    client.send("D x\r\n");
+    EXPECT_EQ(first(client.answer()).substr(0, 4), "DONE");
+    EXPECT_EQ(first(client.answer()).substr(0, 3), "ROW");
+    // A message without end is told so and let go; others notice nothing.
+    WireClient endless(site.frontAddress(), "primary");
+    endless.send("QUERY e1 WRITE x " + std::string(1'100'000, 'y'));
+    EXPECT_EQ(first(endless.answer()), "");
+    EXPECT_EQ(first(client.ask("QUERY r1 READ x")).substr(0, 3), "ROW");
+    // A route comes, is refused in a broken form, and an older version changes nothing.
+    EXPECT_EQ(site.put(1, "/config", "{\"edition\": 9"), 400);
+    EXPECT_EQ(site.put(1, "/config", site.configuration(2, "added")), 200);
+    EXPECT_EQ(site.put(2, "/config", site.configuration(1)), 200);
+    EXPECT_TRUE(site.until([&] {
+        WireClient added(site.frontAddress(), "added");
+        return first(added.ask("QUERY a" + std::to_string(std::rand()) + " READ x")).starts_with("ROW");
+    }));
+    site.signal("counter", SIGHUP);
+    site.signal("courier", SIGHUP);
+    EXPECT_EQ(first(client.ask("QUERY r2 READ x")).substr(0, 3), "ROW");
+    EXPECT_EQ(site.with([](Databases& d) { return d.effects("w1") + d.effects("p1"); }), 2);
+    site.signal("counter", SIGTERM);
+    site.signal("courier", SIGTERM);
+    EXPECT_EQ(first(client.ask("QUERY r3 READ x")).substr(0, 3), "ROW");
+    EXPECT_EQ(site.end("counter"), 0);
+    EXPECT_EQ(site.end("courier"), 0);
+    for (int i = 0; i < 3; ++i) {
+        site.signal("sorting-" + std::to_string(i), SIGTERM);
+        EXPECT_EQ(site.end("sorting-" + std::to_string(i)), 0);
+    }
+}
+
+TEST(Processes, PassTheLeadOnWhenThePrimaryGoesDark) {
+    Site site(3, 21100);
+    startAll(site, 3);
+    WireClient client(site.frontAddress(), "primary");
+    std::vector<std::string> acknowledged;
+    auto write = [&](const std::string& id) {
+        const bool done = first(client.ask("QUERY " + id + " WRITE x 1")).starts_with("DONE");
+        if (done) acknowledged.push_back(id);
+        return done;
+    };
+    for (int i = 0; i < 20; ++i) write("w" + std::to_string(i));
+    site.with([](Databases& d) { return d.deaf("s1", true), 0; });
+    for (int i = 20; i < 40; ++i) write("w" + std::to_string(i));
+    EXPECT_EQ(acknowledged.size(), 40u);
+    site.with([](Databases& d) { return d.dark("s0", true), d.deaf("s1", false), 0; });
+    const auto died = std::chrono::steady_clock::now();
+    int tries = 0;
+    ASSERT_TRUE(site.until([&] { return write("x" + std::to_string(++tries)); }));
+    const auto gap = std::chrono::steady_clock::now() - died;
+    EXPECT_LT(gap, std::chrono::seconds(8));
+    RecordProperty("gap_ms", static_cast<int>(gap / std::chrono::milliseconds(1)));
+    EXPECT_EQ(site.promotions.load(), 1);
+    for (const std::string& id : acknowledged)
+        EXPECT_EQ(site.with([&](Databases& d) { return d.effects(id); }), 1) << id;
+    // The old one returns as a replica, and nothing of what it did not acknowledge is doubled.
+    site.with([](Databases& d) { return d.dark("s0", false), 0; });
+    EXPECT_TRUE(write("last"));
+    for (int i = 1; i < tries; ++i)
+        EXPECT_LE(site.with([&](Databases& d) { return d.effects("x" + std::to_string(i)); }), 1);
+}
+
+TEST(Processes, KeepWhatWasAcknowledgedThroughKillsAndALostDisk) {
+    Site site(3, 21200);
+    startAll(site, 3);
+    ASSERT_EQ(site.put(0, "/config", site.configuration(5, "kept")), 200);
+    site.signal("sorting-0", SIGKILL);
+    site.end("sorting-0");
+    site.wipe("sorting-0");
+    for (const char* name : {"sorting-1", "sorting-2"}) {
+        site.signal(name, SIGKILL);
+        site.end(name);
+    }
+    for (int i = 0; i < 3; ++i) site.start("sorting-" + std::to_string(i));
+    site.logged("sorting-0", "votes again");
+    // An older version is acknowledged and changes nothing: what was acknowledged still stands.
+    ASSERT_TRUE(site.until([&] { return site.put(0, "/config", site.configuration(4)) == 200; }));
+    site.signal("counter", SIGKILL);
+    site.signal("courier", SIGKILL);
+    site.end("counter");
+    site.end("courier");
+    site.start("counter");
+    site.start("courier");
+    site.logged("counter", "configuration 5 in force");
+    EXPECT_TRUE(site.until([&] {
+        WireClient client(site.frontAddress(), "kept");
+        return first(client.ask("QUERY k" + std::to_string(std::rand()) + " READ x")).starts_with("ROW");
+    }));
+}
+
+TEST(Processes, GoOnWithoutTheirAgentAndWithoutControl) {
+    Site site(3, 21300);
+    startAll(site, 3);
+    WireClient client(site.frontAddress(), "primary");
+    site.signal("courier", SIGKILL);
+    site.end("courier");
+    for (int i = 0; i < 3; ++i) site.signal("sorting-" + std::to_string(i), SIGSTOP);
+    for (int i = 0; i < 30; ++i) {
+        EXPECT_EQ(first(client.ask("QUERY w" + std::to_string(i) + " WRITE x 1")).substr(0, 4), "DONE") << i;
+        EXPECT_EQ(first(client.ask("QUERY r" + std::to_string(i) + " READ x")).substr(0, 3), "ROW") << i;
+    }
+    EXPECT_EQ(site.ready(), 200);
+    for (int i = 0; i < 3; ++i) site.signal("sorting-" + std::to_string(i), SIGCONT);
+    site.start("courier");
+    EXPECT_TRUE(site.until([&] { return site.put(1, "/config", site.configuration(7, "late")) == 200; }));
+    site.logged("counter", "configuration 7 in force");
+}
+}  // namespace
