Try a replica that lags again only when it may have caught up

Change: what the store says goes below what was trusted; the module's own pace of asking says when it is tried again.

--- a/src/counter/pooler.cpp
+++ b/src/counter/pooler.cpp
@@ -849,7 +849,7 @@
     if (part == Part::begin) {
         if (line.error) {
             const Error error = *line.error;
-            if (error == Error::lagging) ++counts_.lagging;
+            if (error == Error::lagging) lags(store, mark);
             op.lastError = error;
             op.lastText = line.errorText;
             clear();
@@ -915,7 +915,7 @@
     }
     if (!done && first && entry.elsewhere) {
         // Nothing ran: another store may do better, or this one later.
-        if (error == Error::lagging) ++counts_.lagging;
+        if (error == Error::lagging) lags(store, mark);
         if (error == Error::unknown) line.prepared.clear();
         op.lastError = error;
         op.lastText = text;
@@ -969,6 +969,13 @@
     report(key, launchNo, store, Ending::error, launchedAt, position, false);
 }
 
+// A replica that was tried on trust and lacks what was needed: the module asks again when it may have caught up.
+void Pooler::lags(Store& store, std::optional<Mark> mark) {
+    ++counts_.lagging;
+    const std::optional<Nanos> position = mark ? store.service->horizon.holds(*mark) : std::nullopt;
+    front_.lags(store.id, position.value_or(1));
+}
+
 // Rolls back what the store holds for nobody any more; the line serves others once that is done.
 void Pooler::release(Line& line, const std::string& abortId) {
     line.user = nullptr;
--- a/src/counter/pooler.hpp
+++ b/src/counter/pooler.hpp
@@ -143,6 +143,7 @@
         std::string lastText;
     };
     struct Tx {
+        Tx() {}  // clang wants it before the class around it is whole
         bool readOnly = false, begun = false, wrote = false;
         std::string beginId;
         Nanos came = 0;
@@ -204,6 +205,7 @@
     void finishOp(Session& s, Line& line, const std::string& bytes, char state);
     void report(const std::string& key, int launchNo, Store& store, Ending how, Nanos launchedAt,
                 std::optional<Nanos> position, bool over);
+    void lags(Store& store, std::optional<Mark> mark);
     void release(Line& line, const std::string& abortId);
     void idle(Line& line);
     void drop(Line& line);
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1035,6 +1035,13 @@
     if (primary && position) tellRole(*store, *primary ? Role::primary : Role::replica, *position, false);
 }
 
+void Front::lags(const std::string& id, Nanos position) {
+    Store* store = find(id);
+    if (!store) return;
+    store->position = position;
+    store->positionTold = now_;
+}
+
 // What it cost the store is taken to be what it cost here, and is booked to a cold one as work: a crowd of
 // new connections alone could push it over.
 void Front::shookHands(const std::string& id, Nanos work) {
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -227,6 +227,8 @@
     // A handshake was made with the store, beyond what any connection costs; `work`: what it took of a processor.
     void shookHands(const std::string& store, Nanos work);
     void reported(const std::string& store, std::optional<Nanos> position, std::optional<bool> primary);
+    // The store itself has said that it lacks what a read needed: its position is this, whatever was held before.
+    void lags(const std::string& store, Nanos position);
     void probed(const std::string& store, Ending how);
     void woke(std::int64_t) { round(); }
     // The number of a kind of transaction that was not known at the start, or of one laid down alike before.
