--- a/src/front.hpp
+++ b/src/front.hpp
@@ -1,5 +1,5 @@
 // The interface of the decision module and the state it works on. What is decided, and by which
-// figures, stands in decide.cpp alone.
+// figures, stands in src/policy alone.
 #pragma once
 
 #include <cmath>
