Dial several parents at once after a start; settle registers sooner then

Change: up to three dials at once, the first that opens is taken; after a start registers are settled after 50 ms.

--- a/src/courier/program.cpp
+++ b/src/courier/program.cpp
@@ -13,6 +13,8 @@
 namespace {
 namespace asio = boost::asio;
 using parcel::Link;
+// Connections towards a parent that may be on their way at once while there is none.
+constexpr int dialsMost = 3;
 
 class Program {
 public:
@@ -58,11 +60,13 @@
         const Nanos now = parcel::steadyNow();
         // The proxy beside it may end by the same signal, and needs the news until it has.
         if (ending_ && (!courier_.feeds() || now - ending_ > millis(satchel_.grace_ms - 200))) return loop_.stop();
-        if (!dialling_ && now >= dialAt_) {
-            if (!up_) {
+        if (now >= dialAt_) {
+            if (!up_ && dialling_ < dialsMost) {
+                // A machine without power says nothing: others are tried beside it, and the first that answers is taken.
                 const auto parents = courier_.parents();
                 if (!parents.empty()) dial(parents[tries_++ % parents.size()], now);
-            } else if (const std::string better = courier_.betterParent(); !better.empty() && now - upAt_ > millis(500)) {
+            } else if (const std::string better = courier_.betterParent();
+                       up_ && !dialling_ && !better.empty() && now - upAt_ > millis(500)) {
                 dial(better, now);
             }
         }
@@ -75,14 +79,16 @@
     }
     // The link that stands is given up only once the other is there.
     void dial(const std::string& where, Nanos now) {
-        dialling_ = true;
+        ++dialling_;
+        const bool first = up_ == 0;
         dialAt_ = now + millis(100);
         auto made = std::make_shared<std::shared_ptr<parcel::Stream>>();
-        *made = parcel::Stream::to(loop_, at(where, satchel_.firstPort), 1000, [this, made, where] {
-            dialling_ = false;
-            tries_ = 0;
+        *made = parcel::Stream::to(loop_, at(where, satchel_.firstPort), 1000, [this, made, where, first] {
+            --dialling_;
             const auto stream = *made;
             made->reset();
+            if (first && up_) return stream->close();  // another was there before
+            tries_ = 0;
             links_.erase(up_);
             up_ = ++lastLink_;
             upAt_ = parcel::steadyNow();
@@ -95,7 +101,7 @@
         });
         (*made)->start([](std::string_view) { return std::size_t(0); },
                        [this, where](bool) {
-                           dialling_ = false;
+                           --dialling_;
                            courier_.shun(where, parcel::steadyNow());
                        });
     }
@@ -140,7 +146,7 @@
     std::map<int, std::shared_ptr<Link>> links_;
     int lastLink_ = 0, up_ = 0;
     std::size_t tries_ = 0;
-    bool dialling_ = false;
+    int dialling_ = 0;
     Nanos dialAt_ = 0, upAt_ = 0, ending_ = 0;
     parcel::Listener forCouriers_;
     std::optional<parcel::Listener> forProxy_;
--- a/src/sorting/office.cpp
+++ b/src/sorting/office.cpp
@@ -15,6 +15,8 @@
 constexpr Nanos awayAfter = millis(600);
 // An accepted value that nobody has said to stand is settled after this.
 constexpr Nanos unsaidFor = millis(250);
+// After a start nothing has been said yet, and everyone waits for it.
+constexpr Nanos soonAtStart = millis(50);
 // A member that comes gets its vote after this; one that is away loses it after this, where others have come.
 constexpr Nanos settlesIn = millis(300), awayForGood = millis(15'000);
 // What an earlier life of a member with an empty disk may have said is no longer under way after this.
@@ -482,7 +484,7 @@
     const Nanos turn = unsaidFor + static_cast<Nanos>(rank()) * millis(300);
     if (now - startedAt_ < millis(30'000))
         for (const auto& [name, slot] : acceptor_.all())
-            if (!slot.value.is_null() && !said(name, slot.value)) unsaid_.try_emplace(name, now);
+            if (!slot.value.is_null() && !said(name, slot.value)) unsaid_.try_emplace(name, now - unsaidFor + soonAtStart);
     for (auto& [name, since] : unsaid_)
         if (now - since >= turn) names.push_back(name), since = now;
     for (const std::string& name : names)
