--- a/bench/scale.sh
+++ b/bench/scale.sh
@@ -38,8 +38,9 @@
     echo 'request = "PUT"'
     echo "data = \"{\\\"depot\\\":\\\"svc-$((i / 3))\\\",\\\"address\\\":\\\"10.0.0.1:$i\\\",\\\"district\\\":\\\"zone-1\\\",\\\"standing\\\":\\\"accepting\\\",\\\"db_role\\\":\\\"branch_office\\\",\\\"call_seq\\\":1}\""
     echo 'output = "/dev/null"'
+    echo next
 done > "$folder/beats"
-[ "$stores" -gt 0 ] && curl -s -K "$folder/beats"
+[ "$stores" -gt 0 ] && curl -s -K "$folder/beats" > /dev/null 2>&1
 sleep 4
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 rss() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
--- a/src/counter/pooler.cpp
+++ b/src/counter/pooler.cpp
@@ -30,6 +30,7 @@
     charter.longestAdvice = millis(10 * comeBack_ms);
     charter.tick = millis(1);
     charter.crossingCost = 0.01;
+    charter.nearAnyTier = true;
     return charter;
 }
 }  // namespace
@@ -751,6 +752,9 @@
     op.sent = true;
     if (s.tx && op.writes) s.tx->wrote = true;
     const Service& of = *line.store->service;
+    const bool near = line.store->district == satchel_.district;
+    ++(of.lead == line.store->id ? near ? counts_.leadNear : counts_.leadFar
+                                 : near ? counts_.replicaNear : counts_.replicaFar);
     line.proven = of.lead == line.store->id && (provable(of) || op.guarded || (s.tx && !s.tx->readOnly));
     line.askedAt = now_;
     ask(line, op.statement.id, op.after + op.text, Part::main);
--- a/src/counter/pooler.hpp
+++ b/src/counter/pooler.hpp
@@ -56,8 +56,8 @@
 
 // What has happened since the start, for the log.
 struct Counts {
-    std::uint64_t sessions = 0, statements = 0, transactions = 0, answered = 0, promised = 0, indoubt = 0, opened = 0,
-                  own = 0, guarded = 0, lagging = 0;
+    std::uint64_t sessions = 0, statements = 0, transactions = 0, answered = 0, promised = 0, indoubt = 0, opened = 0;
+    std::uint64_t own = 0, guarded = 0, lagging = 0, leadNear = 0, leadFar = 0, replicaNear = 0, replicaFar = 0;
 };
 
 class Pooler : private Outlet {
