--- a/src/sorting/office.cpp
+++ b/src/sorting/office.cpp
@@ -407,6 +407,7 @@
                          if (!stands) return answer(call, Kind::noMajority);
                          learn("config", *stands);
                          answer(call, Kind::taken, "{}");
+                         outputs_.push_back(ToLog{"configuration " + stands->at("edition").dump() + " acknowledged"});
                      }},
                     now, now + changeWithin);
     flushProposer(now);
