--- a/src/counter/pooler.cpp
+++ b/src/counter/pooler.cpp
@@ -31,6 +31,7 @@
     charter.tick = millis(1);
     charter.crossingCost = 0.01;
     charter.nearAnyTier = true;
+    charter.holdShare = 0.45;  // the way to the client counts, too
     return charter;
 }
 }  // namespace
--- a/src/front.hpp
+++ b/src/front.hpp
@@ -64,6 +64,7 @@
     Nanos longestAdvice = 0, askWithin = 0, tick = 0, coldTime = 0;
     double coldFrom = 1, fallMultiple = 1;
     double crossingCost = 0;  // of a launch to another zone, as a share of a transaction's gain
+    double holdShare = 0.5;  // of its time, a late transaction that reached no store is held at most
     bool nearAnyTier = false;  // the own zone's replica goes before the own tier's, while it is little used
 };
 
--- a/src/policy/launch.cpp
+++ b/src/policy/launch.cpp
@@ -245,7 +245,7 @@
     // What has waited here past its goal time and for half its time, and reached no store, would mostly wait
     // on in vain; its client asks again sooner if it is told now. It guards against groups without a primary,
     // and should catch any store that takes nothing. It may hurt where the wait would have ended just after.
-    const Nanos half = t.arrived + (t.cutOff - t.arrived) / 2;
+    const Nanos half = t.arrived + static_cast<Nanos>(charter_.holdShare * double(t.cutOff - t.arrived));
     if (t.arrivedThere == 0 && soonest > t.goal && now_ + beat_ + 2 * tick_ > half) return true;
     return lane.effect == Effect::stamped && t.mayHaveRunSince && now_ >= t.mayHaveRunSince + lane.window;
 }
