Let go of a store call's connection once it has ended

Cause: the connection of a STATUS or PAUSE and its call held each other, so each such call of control leaked some 700 bytes (found by the leak checker in the process test under the sanitizers). Change: the call is kept by its timer alone, the connection by its own handlers.

--- a/src/parcel/storecall.cpp
+++ b/src/parcel/storecall.cpp
@@ -7,7 +7,7 @@
     explicit Call(asio::io_context& loop) : timer(loop) {}
     void end(std::optional<std::string> with) {
         timer.cancel();
-        if (stream) stream->finish();
+        if (const auto used = std::move(stream)) used->finish();
         if (auto told = std::exchange(done, nullptr)) told(std::move(with));
     }
     std::size_t heard(std::string_view all) {
@@ -45,16 +45,25 @@
     call->text = text;
     call->done = std::move(done);
     call->timer.expires_after(std::chrono::milliseconds(within_ms));
+    // The timer alone keeps it: until it has ended, or the loop is gone.
     call->timer.async_wait([call](boost::system::error_code stopped) {
         if (stopped) return;
         if (call->stream) call->stream->close();
         call->end({});
     });
-    call->stream = Stream::to(loop, where, within_ms, [call, service, storeId] {
-        call->stream->send("GREET " + service + " control " + storeId + "\r\n");
+    const std::weak_ptr<Call> weak = call;
+    call->stream = Stream::to(loop, where, within_ms, [weak, service, storeId] {
+        if (const auto to = weak.lock(); to && to->stream)
+            to->stream->send("GREET " + service + " control " + storeId + "\r\n");
     });
-    call->stream->start([call](std::string_view all) { return call->heard(all); },
-                        [call](bool) { call->end({}); });
+    call->stream->start(
+        [weak](std::string_view all) {
+            const auto to = weak.lock();
+            return to ? to->heard(all) : all.size();
+        },
+        [weak](bool) {
+            if (const auto to = weak.lock()) to->end({});
+        });
 }
 
 }  // namespace granitereel::parcel
