Share one silent outlet among tests and measurements of the module

Cause: three places wrote out the same eleven calls of an outlet that does nothing. No source of a program changed. Measured: test_warm and test_system_module pass, bench_pooler builds.

--- a/bench/pooler.cpp
+++ b/bench/pooler.cpp
@@ -2,6 +2,7 @@
 // Stores answer at once and out of nothing: their stand-in is in the figure, so it is an upper bound.
 #include <benchmark/benchmark.h>
 
+#include "standins/outlet.hpp"
 #include "standins/poolerrig.hpp"
 
 namespace {
@@ -51,18 +52,8 @@
 }
 
 // The module alone: a read that is taken, launched and answered.
-struct Sink : granitereel::Outlet {
+struct Sink : granitereel::standins::SilentOutlet {
     void launch(const std::string& t, const std::string& s, granitereel::Nanos) override { last = {t, s}; }
-    void nack(const std::string&, granitereel::Nanos) override {}
-    void writeOff(const std::string&) override {}
-    void cancel(const std::string&, int) override {}
-    void probe(const std::string&) override {}
-    void hangUp(const std::string&) override {}
-    void followList(bool) override {}
-    void askList() override {}
-    void tell(std::optional<int>, const std::string&) override {}
-    void wake(granitereel::Nanos, std::int64_t) override {}
-    void log(const std::string&) override {}
     std::pair<std::string, std::string> last;
 };
 void decision(benchmark::State& state) {
--- a/tests/system/module.cpp
+++ b/tests/system/module.cpp
@@ -3,22 +3,16 @@
 #include <gtest/gtest.h>
 
 #include "front.hpp"
+#include "standins/outlet.hpp"
 
 namespace {
 using namespace granitereel;
 
-struct Sink : Outlet {
+struct Sink : granitereel::standins::SilentOutlet {
     void launch(const std::string& t, const std::string& s, Nanos) override { launched.emplace_back(t, s); }
     void nack(const std::string& t, Nanos) override { nacked.push_back(t); }
     void writeOff(const std::string& t) override { nacked.push_back(t); }
-    void cancel(const std::string&, int) override {}
     void probe(const std::string& s) override { probed.push_back(s); }
-    void hangUp(const std::string&) override {}
-    void followList(bool) override {}
-    void askList() override {}
-    void tell(std::optional<int>, const std::string&) override {}
-    void wake(Nanos, std::int64_t) override {}
-    void log(const std::string&) override {}
     std::vector<std::pair<std::string, std::string>> launched;
     std::vector<std::string> nacked, probed;
 };
--- a/tests/warm.cpp
+++ b/tests/warm.cpp
@@ -10,6 +10,7 @@
 #include "bench.hpp"
 #include "owners/clerk.hpp"
 #include "owners/letter.hpp"
+#include "standins/outlet.hpp"
 #include "standins/world.hpp"
 
 using namespace granitereel;
@@ -490,19 +491,9 @@
 
 // A transaction that waits for a cold primary's credit asks for it, and goes as soon as that is lent.
 void waitsAndGoes() {
-    struct Asks final : Outlet {
+    struct Asks final : standins::SilentOutlet {
         std::vector<std::string> launched, asked;
         void launch(const std::string& t, const std::string&, Nanos) override { launched.push_back(t); }
-        void nack(const std::string&, Nanos) override {}
-        void writeOff(const std::string&) override {}
-        void cancel(const std::string&, int) override {}
-        void probe(const std::string&) override {}
-        void hangUp(const std::string&) override {}
-        void followList(bool) override {}
-        void askList() override {}
-        void tell(std::optional<int>, const std::string&) override {}
-        void wake(Nanos, std::int64_t) override {}
-        void log(const std::string&) override {}
         void scarce(const std::string& store, double, double gain, Nanos) override {
             assert(gain > 0);
             asked.push_back(store);
