--- a/bench/scale.sh
+++ b/bench/scale.sh
@@ -21,15 +21,15 @@
 }
 for i in 1 2 3; do
     mkdir "$folder/s$i"
-    settings "sorting-$i" "127.9.0.$i" "zone-$i" "data_path = \"$folder/s$i\"
+    settings "control-$i" "127.9.0.$i" "zone-$i" "data_path = \"$folder/s$i\"
 [listen_on]
 control_addr = \"127.9.0.$i:$port\"" > "$folder/s$i.toml"
-    "$program" sorting --settings "$folder/s$i.toml" > "$folder/s$i.log" 2>&1 &
+    "$program" control --settings "$folder/s$i.toml" > "$folder/s$i.log" 2>&1 &
     pids+=($!); disown
 done
 for ((i = 0; i < agents; ++i)); do
-    settings "counter-$i" "127.9.$((1 + i / 200)).$((1 + i % 200))" "zone-$((1 + i % 4))" "" > "$folder/c$i.toml"
-    "$program" courier --hollow --settings "$folder/c$i.toml" > "$folder/c$i.log" 2>&1 &
+    settings "proxy-$i" "127.9.$((1 + i / 200)).$((1 + i % 200))" "zone-$((1 + i % 4))" "" > "$folder/c$i.toml"
+    "$program" agent --hollow --settings "$folder/c$i.toml" > "$folder/c$i.log" 2>&1 &
     pids+=($!); disown
 done
 sleep 6
--- a/models/registers.pml
+++ b/models/registers.pml
@@ -1,9 +1,9 @@
 /* The registers of control, as a model: one register under one number, acceptors that promise and accept, proposers
  * that clash, a disk that is lost, power that is lost, and who votes changing by one voter at a time.
  *
- * Stands for, in src/sorting: answers of acceptor i for Acceptor::promise and Acceptor::accept behind Office::vote (the
+ * Stands for, in src/control: answers of acceptor i for Acceptor::promise and Acceptor::accept behind ControlMember::vote (the
  * epoch, the vote of an empty disk); proposer() for Proposer; recover() for Office's dumps; manager() for
- * Office::manage. An answer and its question are one step; either may never come (a proposer gives up at any step).
+ * ControlMember::manage. An answer and its question are one step; either may never come (a proposer gives up at any step).
  *
  * Claims: what is acknowledged is one body for ever, and whoever reads later reads it.
  *
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,20 +1,21 @@
-#include "courier/courier.hpp"
+#include "agent/agent.hpp"
 
 #include <xxhash.h>
 
 #include <algorithm>
 
-namespace granitereel::courier {
+namespace granitereel::agent {
 
 namespace {
 // Three questions fit into a lease, so that one lost answer does not end it.
 constexpr Nanos askEvery = millis(200);
-// A parent that gives no lease for so long is cut off from the core, or from here: others are tried, and it again
-// after a while that doubles.
+// A parent that gives no lease for so long is cut off from the core, or from here: others are tried, and it
+// again after a while that doubles.
 constexpr Nanos barrenFor = millis(900), shunned = millis(2'000), shunnedMost = millis(16'000);
 
-// How many couriers hang on a member of control of their district, how many hold a link out of a district without
-// one, and how many hang on a courier: a child costs its parent some 30 us five times a second, and 1 KB/s.
+// How many agents hang on a member of control of their district, how many hold a link out of a district
+// without one, and how many hang on a agent: a child costs its parent some 30 us five times a second, and 1
+// KB/s.
 constexpr std::size_t rootsOfMember = 16, rootsAlone = 4, below = 4;
 
 std::uint64_t weight(const std::string& who, const std::string& what) {
@@ -26,46 +27,51 @@
 }
 }  // namespace
 
-Courier::Courier(const satchel::Satchel& satchel, Nanos)
-    : satchel_(satchel),
-      gossip_([this](int link, Json message) { said_.push_back({link, std::move(message)}); },
-              [](const std::string&, const board::Record&) {}) {
-    gossip_.own("front/" + satchel_.station, {{"district", satchel_.district}, {"ip", satchel_.ip}});
+Agent::Agent(const settings::Settings& settings, Nanos)
+    : settings_(settings),
+      gossip_(
+          [this](int link, Json message) {
+              said_.push_back({link, std::move(message)});
+          },
+          [](const std::string&, const board::Record&) {}) {
+    gossip_.own("front/" + settings_.station, {{"district", settings_.district}, {"ip", settings_.ip}});
 }
 
-std::vector<std::string> Courier::parents() const {
+std::vector<std::string> Agent::parents() const {
     struct Known {
         std::string ip, name;
     };
-    std::vector<Known> members, far, couriers;
+    std::vector<Known> members, far, agents;
     board().under("member/", [&](const std::string& name, const board::Record& r) {
         if (!r.body.is_object()) return;
-        (r.body.value("district", "") == satchel_.district ? members : far).push_back({r.body.value("ip", ""), name});
+        (r.body.value("district", "") == settings_.district ? members : far)
+            .push_back({r.body.value("ip", ""), name});
     });
     board().under("front/", [&](const std::string& name, const board::Record& r) {
-        if (r.body.is_object() && r.body.value("district", "") == satchel_.district)
-            couriers.push_back({r.body.value("ip", ""), name});
+        if (r.body.is_object() && r.body.value("district", "") == settings_.district)
+            agents.push_back({r.body.value("ip", ""), name});
     });
     auto order = [&](auto& some, const std::string& by) {
-        std::sort(some.begin(), some.end(), [&](auto& a, auto& b) { return weight(a.name, by) > weight(b.name, by); });
+        std::sort(some.begin(), some.end(),
+                  [&](auto& a, auto& b) { return weight(a.name, by) > weight(b.name, by); });
     };
-    order(members, satchel_.station);
-    order(far, satchel_.station);
-    order(couriers, satchel_.district);  // all of a district agree on its tree
+    order(members, settings_.station);
+    order(far, settings_.station);
+    order(agents, settings_.district);  // all of a district agree on its tree
     // The first few hang on the district's members, or on some elsewhere; each further one on the
-    // courier that its place in the order says.
+    // agent that its place in the order says.
     const std::size_t roots = members.empty() ? rootsAlone : rootsOfMember * members.size();
     std::size_t place = 0;
-    while (place < couriers.size() && couriers[place].ip != satchel_.ip) ++place;
+    while (place < agents.size() && agents[place].ip != settings_.ip) ++place;
     std::vector<std::string> all;
-    if (place < couriers.size())
+    if (place < agents.size())
         for (std::size_t at = place; at >= roots;) {
             at = (at - roots) / below;
-            all.push_back(couriers[at].ip);  // and its own parents, should it be gone
+            all.push_back(agents[at].ip);  // and its own parents, should it be gone
         }
     for (const Known& each : members) all.push_back(each.ip);
     for (const Known& each : far) all.push_back(each.ip);
-    for (const std::string& seed : satchel_.seeds)
+    for (const std::string& seed : settings_.seeds)
         if (std::find(all.begin(), all.end(), ipOf(seed)) == all.end()) all.push_back(ipOf(seed));
     std::stable_partition(all.begin(), all.end(), [&](const std::string& ip) {
         const auto at = barren_.find(ip);
@@ -74,18 +80,18 @@
     return all;
 }
 
-std::string Courier::betterParent() const {
+std::string Agent::betterParent() const {
     const auto all = parents();
     return up_ != 0 && !all.empty() && all.front() != upAddress_ ? all.front() : "";
 }
 
-void Courier::shun(const std::string& address, Nanos now) {
+void Agent::shun(const std::string& address, Nanos now) {
     auto& [until, pause] = barren_[address];
     pause = std::clamp(2 * pause, shunned, shunnedMost);
     until = now + pause;
 }
 
-void Courier::upward(int link, const std::string& address, Nanos now) {
+void Agent::upward(int link, const std::string& address, Nanos now) {
     if (up_ != 0) gossip_.leave(up_);
     up_ = link;
     upAddress_ = address;
@@ -93,21 +99,21 @@
     askedAt_ = 0;
     grantedAt_ = now;
     if (link == 0) return;
-    said_.push_back({link, {{"k", "hello"}, {"kind", "front"}, {"station", satchel_.station}}});
+    said_.push_back({link, {{"k", "hello"}, {"kind", "front"}, {"station", settings_.station}}});
     gossip_.join(link);
 }
 
-void Courier::linkUp(int link, Nanos) {
+void Agent::linkUp(int link, Nanos) {
     below_.insert(link);
     gossip_.join(link);
 }
 
-void Courier::linkDown(int link) {
+void Agent::linkDown(int link) {
     below_.erase(link);
     gossip_.leave(link);
 }
 
-void Courier::heard(int link, const Json& message, Nanos now) {
+void Agent::heard(int link, const Json& message, Nanos now) {
     const std::string kind = message.at("k");
     if (kind == "news" || kind == "whole?") {
         gossip_.heard(link, message);
@@ -122,19 +128,19 @@
             barren_.erase(upAddress_);
         }
         asks_.erase(asks_.begin(), std::next(asked));
-        cautions_ = message.at("c");
+        unsettledLeads_ = message.at("c");
     } else if (kind == "lease?") {
         said_.push_back({link,
                          {{"k", "lease"},
                           {"t", message.at("t")},
                           {"left", std::max<Nanos>(0, (leaseUntil_ - now) / 1000)},
-                          {"c", cautions_}}});
+                          {"c", unsettledLeads_}}});
     } else if (kind == "suspect") {
         if (up_ != 0) said_.push_back({up_, message});
     }
 }
 
-void Courier::tick(Nanos now) {
+void Agent::tick(Nanos now) {
     now_ = now;
     if (up_ != 0 && now - askedAt_ >= askEvery) {
         askedAt_ = now;
@@ -148,4 +154,4 @@
     }
 }
 
-}  // namespace granitereel::courier
+}  // namespace granitereel::agent
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -1,6 +1,7 @@
-// The agent beside a proxy: it holds one link towards control, keeps the board alike, carries the lease on what is
-// known of leads, and feeds the proxy over loopback. Couriers form the tree by which news goes down: in a district
-// without a member of control, one of them holds the link and the others hang on it. Free of I/O, clocks and chance.
+// The agent beside a proxy: it holds one link towards control, keeps the board alike, carries the lease on
+// what is known of leads, and feeds the proxy over loopback. Agents form the tree by which news goes down: in
+// a district without a member of control, one of them holds the link and the others hang on it. Free of I/O,
+// clocks and chance.
 #pragma once
 
 #include <map>
@@ -10,21 +11,22 @@
 
 #include "board/gossip.hpp"
 #include "nanos.hpp"
-#include "satchel/satchel.hpp"
+#include "settings/settings.hpp"
 
-namespace granitereel::courier {
+namespace granitereel::agent {
 
 using Json = nlohmann::json;
 
-class Courier {
+class Agent {
 public:
     struct Said {
         int link = 0;
         Json message;
     };
-    Courier(const satchel::Satchel& satchel, Nanos now);
+    Agent(const settings::Settings& settings, Nanos now);
 
-    // Where the link upwards is to be sought now, best first: addresses of members, or of couriers that pass on.
+    // Where the link upwards is to be sought now, best first: addresses of members, or of agents that pass
+    // on.
     std::vector<std::string> parents() const;
     // The upward link is that of `address`; 0 as `link`: it is lost.
     void upward(int link, const std::string& address, Nanos now);
@@ -32,7 +34,7 @@
     std::string betterParent() const;
     // No link could be had to it: others go before it for a while, which doubles.
     void shun(const std::string& address, Nanos now);
-    void linkUp(int link, Nanos now);  // a courier below, or the proxy
+    void linkUp(int link, Nanos now);  // a agent below, or the proxy
     void linkDown(int link);
     void heard(int link, const Json& message, Nanos now);
     void tick(Nanos now);
@@ -43,7 +45,7 @@
     Nanos leaseUntil() const { return leaseUntil_; }
 
 private:
-    const satchel::Satchel satchel_;
+    const settings::Settings settings_;
     std::vector<Said> said_;
     board::Gossip gossip_;
     int up_ = 0;
@@ -52,8 +54,9 @@
     std::uint64_t asked_ = 0;
     std::map<std::uint64_t, Nanos> asks_;
     Nanos askedAt_ = 0, grantedAt_ = 0, leaseUntil_ = 0, now_ = 0;
-    std::map<std::string, std::pair<Nanos, Nanos>> barren_;  // parents without a lease: until when, for how long
-    Json cautions_ = Json::object();
+    std::map<std::string, std::pair<Nanos, Nanos>>
+        barren_;  // parents without a lease: until when, for how long
+    Json unsettledLeads_ = Json::object();
 };
 
-}  // namespace granitereel::courier
+}  // namespace granitereel::agent
--- a/src/board/board.hpp
+++ b/src/board/board.hpp
@@ -1,6 +1,6 @@
-// What every process of the system knows of the others: records under names, each with a version that only grows.
-// Of two bodies of a record the higher version holds, wherever it comes from and in whatever order; so a board is
-// brought up to date by a snapshot, then changes, and by either twice. Free of I/O.
+// What every process of the system knows of the others: records under names, each with a version that only
+// grows. Of two bodies of a record the higher version holds, wherever it comes from and in whatever order; so
+// a board is brought up to date by a snapshot, then changes, and by either twice. Free of I/O.
 #pragma once
 
 #include <cstdint>
@@ -32,7 +32,8 @@
     // Calls `each(name, record)` for the records whose names begin so, in order of names.
     template <class Each>
     void under(const std::string& prefix, Each each) const {
-        for (auto at = records_.lower_bound(prefix); at != records_.end() && at->first.starts_with(prefix); ++at)
+        for (auto at = records_.lower_bound(prefix); at != records_.end() && at->first.starts_with(prefix);
+             ++at)
             each(at->first, at->second);
     }
     const std::map<std::string, Record>& all() const { return records_; }
@@ -43,7 +44,8 @@
     std::map<std::string, Record> records_;
 };
 
-// The difference between two bodies as a patch (RFC 6902), or null where it is not much shorter than the whole.
+// The difference between two bodies as a patch (RFC 6902), or null where it is not much shorter than the
+// whole.
 Json shorter(const Json& was, const Json& now);
 
 // A record as it is told: {"n": name, "v": [major, minor], "b": body}.
--- a/src/board/gossip.cpp
+++ b/src/board/gossip.cpp
@@ -19,7 +19,8 @@
     return true;
 }
 
-void Gossip::tell(const std::string& name, const Record& stands, const Version& before, const Json& patch, int from) {
+void Gossip::tell(const std::string& name, const Record& stands, const Version& before, const Json& patch,
+                  int from) {
     Json record = patch.is_null() ? told(name, stands)
                                   : Json{{"n", name},
                                          {"v", {stands.version.major, stands.version.minor}},
@@ -45,7 +46,8 @@
             continue;
         }
         const std::string name = each.at("n");
-        const Version to{each.at("v").at(0), each.at("v").at(1)}, before{each.at("f").at(0), each.at("f").at(1)};
+        const Version to{each.at("v").at(0), each.at("v").at(1)},
+            before{each.at("f").at(0), each.at("f").at(1)};
         const Record* known = board_.find(name);
         if (known && known->version >= to) continue;
         if (!known || known->version != before) {
--- a/src/board/gossip.hpp
+++ b/src/board/gossip.hpp
@@ -1,5 +1,5 @@
-// A board that is kept alike over links: what is new is passed on to all links but the one it came by; a new link
-// gets a snapshot, then changes. Free of I/O.
+// A board that is kept alike over links: what is new is passed on to all links but the one it came by; a new
+// link gets a snapshot, then changes. Free of I/O.
 #pragma once
 
 #include <functional>
@@ -21,15 +21,16 @@
     void leave(int link) { links_.erase(link); }
     // A record of this process's own, or one heard over `from`; whether it was news.
     bool put(const std::string& name, Record record, int from = 0);
-    // A message {"k": "news", "r": [records]} or {"k": "whole?", "n": name}; others are passed over. A record of news
-    // may come as a patch "p" from the version "f"; who does not hold that one asks for the whole. Throws
-    // nlohmann::json::exception where it is not of this form.
+    // A message {"k": "news", "r": [records]} or {"k": "whole?", "n": name}; others are passed over. A record
+    // of news may come as a patch "p" from the version "f"; who does not hold that one asks for the whole.
+    // Throws nlohmann::json::exception where it is not of this form.
     void heard(int link, const Json& message);
     // A record that only this process makes: put above whatever version stands, where its body differs.
     void own(const std::string& name, const Json& body);
 
 private:
-    void tell(const std::string& name, const Record& stands, const Version& before, const Json& patch, int from);
+    void tell(const std::string& name, const Record& stands, const Version& before, const Json& patch,
+              int from);
 
     Send send_;
     OnNews onNews_;
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -1,4 +1,4 @@
-#include "waybill/waybill.hpp"
+#include "configuration/configuration.hpp"
 
 #include <algorithm>
 #include <set>
@@ -7,7 +7,7 @@
 #include <valijson/schema_parser.hpp>
 #include <valijson/validator.hpp>
 
-namespace granitereel::waybill {
+namespace granitereel::configuration {
 
 namespace {
 using nlohmann::json;
@@ -58,7 +58,7 @@
 }
 }  // namespace
 
-Waybill read(const json& body) {
+Configuration read(const json& body) {
     valijson::Validator validator;
     valijson::ValidationResults faults;
     if (!validator.validate(schema(), valijson::adapters::NlohmannJsonAdapter(body), &faults)) {
@@ -74,13 +74,14 @@
         }
         throw Invalid(text);
     }
-    Waybill w;
+    Configuration w;
     w.edition = body.at("edition").get<std::uint64_t>();
     std::set<std::string> services;
     for (const json& each : body.at("depots")) {
         Service service{each.at("label"), static_cast<int>(whole(each, "berth_cap", 0)),
                         static_cast<int>(whole(each, "sync_replicas", 0))};
-        if (!services.insert(service.name).second) throw Invalid("depots: '" + service.name + "' stands twice");
+        if (!services.insert(service.name).second)
+            throw Invalid("depots: '" + service.name + "' stands twice");
         w.services.push_back(std::move(service));
     }
     std::set<std::pair<std::string, std::string>> places;
@@ -97,17 +98,19 @@
         const std::string mode = each.value("mode", "head_office");
         route.mode = mode == "own" ? Mode::own : mode == "age_bounded" ? Mode::ageBounded : Mode::headOffice;
         const std::string place = "itineraries: '" + route.label + "' ('" + route.database + "')";
-        if (!services.count(route.service)) throw Invalid(place + " names an unknown depot '" + route.service + "'");
+        if (!services.count(route.service))
+            throw Invalid(place + " names an unknown depot '" + route.service + "'");
         if (!places.insert({route.database, each.value("path_prefix", "/")}).second)
             throw Invalid(place + " shares hostname and path_prefix with another");
         w.routes.push_back(std::move(route));
     }
-    if (const auto limits = body.find("limits"); limits != body.end()) w.txIdle_ms = whole(*limits, "tx_idle_ms", 0);
+    if (const auto limits = body.find("limits"); limits != body.end())
+        w.txIdle_ms = whole(*limits, "tx_idle_ms", 0);
     std::sort(w.routes.begin(), w.routes.end(), [](auto& a, auto& b) { return a.database < b.database; });
     return w;
 }
 
-Waybill read(const std::string& text) {
+Configuration read(const std::string& text) {
     json body;
     try {
         body = json::parse(text);
@@ -121,16 +124,16 @@
     }
 }
 
-const Route* Waybill::route(const std::string& database) const {
+const Route* Configuration::route(const std::string& database) const {
     const auto at = std::lower_bound(routes.begin(), routes.end(), database,
                                      [](const Route& r, const std::string& d) { return r.database < d; });
     return at != routes.end() && at->database == database ? &*at : nullptr;
 }
 
-const Service* Waybill::service(const std::string& name) const {
+const Service* Configuration::service(const std::string& name) const {
     for (const Service& each : services)
         if (each.name == name) return &each;
     return nullptr;
 }
 
-}  // namespace granitereel::waybill
+}  // namespace granitereel::configuration
--- a/src/configuration/configuration.hpp
+++ b/src/configuration/configuration.hpp
@@ -1,4 +1,5 @@
-// The operator's configuration: read from JSON, checked by a schema and then across its parts. Whole or not at all.
+// The operator's configuration: read from JSON, checked by a schema and then across its parts. Whole or not
+// at all.
 #pragma once
 
 #include <cstdint>
@@ -7,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace granitereel::waybill {
+namespace granitereel::configuration {
 
 // Why a configuration is refused, with the place of the fault.
 struct Invalid : std::runtime_error {
@@ -31,7 +32,7 @@
     int syncReplicas = 0;
 };
 
-struct Waybill {
+struct Configuration {
     std::uint64_t edition = 0;
     std::vector<Route> routes;
     std::vector<Service> services;
@@ -42,7 +43,7 @@
 };
 
 // Throws Invalid.
-Waybill read(const std::string& text);
-Waybill read(const nlohmann::json& body);
+Configuration read(const std::string& text);
+Configuration read(const nlohmann::json& body);
 
-}  // namespace granitereel::waybill
+}  // namespace granitereel::configuration
--- a/src/control/answers.cpp
+++ b/src/control/answers.cpp
@@ -1,18 +1,25 @@
-#include "sorting/outputs.hpp"
+#include "control/outputs.hpp"
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 Reply replyOf(Kind kind) {
     switch (kind) {
-        case Kind::taken: return {200, "taken"};
-        case Kind::notSound: return {400, "not sound"};
-        case Kind::notFound: return {404, "no such place"};
-        case Kind::notAllowed: return {405, "no such method here"};
-        case Kind::tooLarge: return {413, "too large"};
-        case Kind::noMajority: return {503, "no majority of the core answered in time"};
-        case Kind::unready: return {503, "not ready yet"};
+        case Kind::taken:
+            return {200, "taken"};
+        case Kind::notSound:
+            return {400, "not sound"};
+        case Kind::notFound:
+            return {404, "no such place"};
+        case Kind::notAllowed:
+            return {405, "no such method here"};
+        case Kind::tooLarge:
+            return {413, "too large"};
+        case Kind::noMajority:
+            return {503, "no majority of the core answered in time"};
+        case Kind::unready:
+            return {503, "not ready yet"};
     }
     return {500, "unknown"};
 }
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/disk.cpp
+++ b/src/control/disk.cpp
@@ -1,10 +1,10 @@
-#include "sorting/disk.hpp"
+#include "control/disk.hpp"
 
 #include <leveldb/db.h>
 
 #include <stdexcept>
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 Disk::Disk(const std::string& folder) {
     leveldb::Options options;
@@ -42,4 +42,4 @@
     if (!status.ok()) throw std::runtime_error("state on disk: " + status.ToString());
 }
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/disk.hpp
+++ b/src/control/disk.hpp
@@ -10,11 +10,12 @@
 class DB;
 }
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 class Disk {
 public:
-    // Opens the state under the folder, which is made if it is missing. Throws std::runtime_error with the cause.
+    // Opens the state under the folder, which is made if it is missing. Throws std::runtime_error with the
+    // cause.
     explicit Disk(const std::string& folder);
     ~Disk();
     std::map<std::string, nlohmann::json> all() const;
@@ -25,4 +26,4 @@
     std::unique_ptr<leveldb::DB> db_;
 };
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -1,10 +1,10 @@
-#include "sorting/office.hpp"
+#include "control/member.hpp"
 
 #include <xxhash.h>
 
 #include <algorithm>
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 namespace {
 // Rounds of the lease: three fit into one, so that one lost message does not end it.
@@ -16,7 +16,7 @@
 // A member whose link is down for longer counts as away when duties are dealt out.
 constexpr Nanos awayAfter = millis(600);
 // An accepted value that nobody has said to stand is settled after this.
-constexpr Nanos unsaidFor = millis(250);
+constexpr Nanos unannouncedFor = millis(250);
 // After a start nothing has been said yet, and everyone waits for it.
 constexpr Nanos soonAtStart = millis(50);
 // A member that comes gets its vote after this; one that is away loses it after this, where others have come.
@@ -31,10 +31,10 @@
 }
 }  // namespace
 
-Office::Office(const satchel::Satchel& satchel, std::string incarnation, const std::map<std::string, Json>& disk,
-               Nanos now)
-    : satchel_(satchel),
-      self_(satchel.controlAddress),
+ControlMember::ControlMember(const settings::Settings& settings, std::string incarnation,
+                             const std::map<std::string, Json>& disk, Nanos now)
+    : settings_(settings),
+      self_(settings.controlAddress),
       incarnation_(std::move(incarnation)),
       gossip_([this](int link, Json message) { send(link, std::move(message)); },
               [this](const std::string& name, const board::Record& record) { news(name, record); }),
@@ -50,10 +50,11 @@
     }
     if (core_.epoch) {
         proposer_.core(core_, now);
-    } else if (satchel_.firstBoot) {
+    } else if (settings_.firstBoot) {
         // All processes get the same seeds at the first start: they found the core, each by itself and alike.
-        outputs_.push_back(ToLog{"founding the core with " + std::to_string(satchel_.seeds.size()) + " voters"});
-        adopt({1, {satchel_.seeds.begin(), satchel_.seeds.end()}});
+        outputs_.push_back(
+            ToLog{"founding the core with " + std::to_string(settings_.seeds.size()) + " voters"});
+        adopt({1, {settings_.seeds.begin(), settings_.seeds.end()}});
     } else {
         outputs_.push_back(ToLog{"no state on disk: asking the core for it"});
     }
@@ -61,42 +62,43 @@
 }
 
 // Of two cores the later epoch holds, from the disk's sync on.
-void Office::adopt(Core core) {
+void ControlMember::adopt(Core core) {
     if (core.epoch <= core_.epoch) return;
     core_ = std::move(core);
     reform_.reset();
-    outputs_.push_back(ToDisk{"core", {{"epoch", core_.epoch}, {"voters", core_.voters}, {"recovering", recovering_}}});
+    outputs_.push_back(
+        ToDisk{"core", {{"epoch", core_.epoch}, {"voters", core_.voters}, {"recovering", recovering_}}});
     proposer_.core(core_, now_);
 }
 
-std::set<std::string> Office::toDial() const {
+std::set<std::string> ControlMember::toDial() const {
     std::set<std::string> members = core_.voters;
     // Who does not vote may have missed who does: the seeds know.
-    if (!core_.voters.count(self_)) members.insert(satchel_.seeds.begin(), satchel_.seeds.end());
+    if (!core_.voters.count(self_)) members.insert(settings_.seeds.begin(), settings_.seeds.end());
     members.erase(self_);
     return members;
 }
 
-int Office::linkTo(const std::string& member) const {
+int ControlMember::linkTo(const std::string& member) const {
     for (const auto& [link, peer] : peers_)
         if (peer.dialled == member) return link;
     return 0;
 }
 
-void Office::linkUp(int link, const std::string& dialled, Nanos) {
+void ControlMember::linkUp(int link, const std::string& dialled, Nanos) {
     peers_[link].dialled = dialled;
     if (dialled.empty()) return;  // who comes speaks first
     send(link, {{"k", "hello"},
                 {"kind", "member"},
                 {"member", self_},
-                {"station", satchel_.station},
+                {"station", settings_.station},
                 {"incarnation", incarnation_}});
     gossip_.join(link);
     proposer_.reached(dialled);
     flushProposer(now_);
 }
 
-void Office::linkDown(int link, Nanos now) {
+void ControlMember::linkDown(int link, Nanos now) {
     const auto at = peers_.find(link);
     if (at == peers_.end()) return;
     if (!at->second.dialled.empty()) memberHeard_[at->second.dialled] = now;
@@ -104,15 +106,16 @@
     gossip_.leave(link);
 }
 
-void Office::news(const std::string& name, const board::Record& record) {
+void ControlMember::news(const std::string& name, const board::Record& record) {
     if (name.starts_with("lead/")) {
-        const auto at = cautions_.find(name.substr(5));
-        if (at != cautions_.end() && record.version.major >= at->second) cautions_.erase(at);
+        const auto at = unsettledLeads_.find(name.substr(5));
+        if (at != unsettledLeads_.end() && record.version.major >= at->second) unsettledLeads_.erase(at);
     }
-    if (name == "config") waybill_ = waybill::read(record.body);
+    if (name == "config") configuration_ = configuration::read(record.body);
     if (name == "core")
-        adopt({record.body.at("epoch").get<std::uint64_t>(), record.body.at("voters").get<std::set<std::string>>()});
-    unsaid_.erase(name);
+        adopt({record.body.at("epoch").get<std::uint64_t>(),
+               record.body.at("voters").get<std::set<std::string>>()});
+    unannounced_.erase(name);
 }
 
 namespace {
@@ -123,18 +126,18 @@
 }
 }  // namespace
 
-bool Office::said(const std::string& name, const Json& value) const {
+bool ControlMember::said(const std::string& name, const Json& value) const {
     const board::Record* record = board().find(name);
     return record && record->version >= versionOf(name, value);
 }
 
 // A register's value that is known to stand becomes a record for all.
-void Office::learn(const std::string& name, const Json& value) {
+void ControlMember::learn(const std::string& name, const Json& value) {
     if (!value.is_null()) gossip_.put(name, {versionOf(name, value), value});
 }
 
 // How many voters in reach come before this one: what any may do the first does, the next if it has not.
-std::size_t Office::rank() const {
+std::size_t ControlMember::rank() const {
     std::size_t before = 0;
     for (const std::string& voter : core_.voters) {
         if (voter == self_) break;
@@ -143,13 +146,13 @@
     return before;
 }
 
-void Office::heard(int link, const Json& message, Nanos now) {
+void ControlMember::heard(int link, const Json& message, Nanos now) {
     now_ = now;
     take(link, message, now);
     flushProposer(now);
 }
 
-void Office::take(int link, const Json& message, Nanos now) {
+void ControlMember::take(int link, const Json& message, Nanos now) {
     const auto found = peers_.find(link);
     if (found == peers_.end()) return;
     Peer& peer = found->second;
@@ -169,18 +172,20 @@
             send(link, {{"k", "hello"},
                         {"kind", "member"},
                         {"member", self_},
-                        {"station", satchel_.station},
-                        {"district", satchel_.district},
+                        {"station", settings_.station},
+                        {"district", settings_.district},
                         {"incarnation", incarnation_},
                         {"epoch", core_.epoch},
                         {"voters", core_.voters}});
             gossip_.join(link);
-        } else if (const std::uint64_t epoch = message.value("epoch", std::uint64_t(0)); epoch > core_.epoch) {
+        } else if (const std::uint64_t epoch = message.value("epoch", std::uint64_t(0));
+                   epoch > core_.epoch) {
             Core core{epoch, message.at("voters").get<std::set<std::string>>()};
             if (!core_.epoch) {
                 recovering_ = core.voters.count(self_) > 0;
-                outputs_.push_back(ToLog{recovering_ ? "the disk was lost: reading the core's state before voting"
-                                                     : "joined the core without a vote"});
+                outputs_.push_back(ToLog{recovering_
+                                             ? "the disk was lost: reading the core's state before voting"
+                                             : "joined the core without a vote"});
             }
             adopt(std::move(core));
         }
@@ -193,21 +198,27 @@
     } else if (kind == "stale") {
         adopt({message.at("e").get<std::uint64_t>(), message.at("c").get<std::set<std::string>>()});
     } else if (kind == "round") {
-        if (votes() && message.at("e") == core_.epoch) send(link, {{"k", "roundok"}, {"t", message.at("t")}, {"c", cautions()}});
+        if (votes() && message.at("e") == core_.epoch)
+            send(link, {{"k", "roundok"}, {"t", message.at("t")}, {"c", unsettledLeads()}});
     } else if (kind == "roundok") {
         const auto at = roundsOut_.find(message.at("t").get<std::uint64_t>());
-        for (const auto& [service, seq] : message.at("c").items()) caution(service, seq.get<std::uint64_t>());
+        for (const auto& [service, seq] : message.at("c").items())
+            markUnsettled(service, seq.get<std::uint64_t>());
         if (at == roundsOut_.end() || !core_.voters.count(peer.dialled)) return;
         auto& [sent, from] = at->second;
         from.insert(peer.dialled);
         if (from.size() >= core_.majority()) leaseUntil_ = std::max(leaseUntil_, sent + leaseTime);
     } else if (kind == "lease?") {
         const Nanos left = leaseUntil_ - now;
-        send(link, {{"k", "lease"}, {"t", message.at("t")}, {"left", std::max<Nanos>(0, left / 1000)}, {"c", cautions()}});
+        send(link, {{"k", "lease"},
+                    {"t", message.at("t")},
+                    {"left", std::max<Nanos>(0, left / 1000)},
+                    {"c", unsettledLeads()}});
     } else if (kind == "suspect") {
         suspected(message, now);
     } else if (kind == "dump?") {
-        if (message.contains("c")) adopt({message.at("e").get<std::uint64_t>(), message["c"].get<std::set<std::string>>()});
+        if (message.contains("c"))
+            adopt({message.at("e").get<std::uint64_t>(), message["c"].get<std::set<std::string>>()});
         if (!votes()) return;
         Json slots = Json::object();
         for (const auto& [name, slot] : acceptor_.all()) slots[name] = written(slot);
@@ -218,7 +229,8 @@
         for (const auto& [name, slot] : message.at("slots").items()) reform_->names.insert(name);
     } else if (kind == "dump" && recovering_) {
         for (const auto& [name, slot] : message.at("slots").items())
-            if (acceptor_.merge(name, readSlot(slot))) outputs_.push_back(ToDisk{"slot/" + name, written(acceptor_.at(name))});
+            if (acceptor_.merge(name, readSlot(slot)))
+                outputs_.push_back(ToDisk{"slot/" + name, written(acceptor_.at(name))});
         recovery_.from.insert(peer.dialled);
         if (recovery_.from.size() >= core_.majority() && now >= recovery_.notBefore) {
             recovering_ = false;
@@ -228,7 +240,7 @@
     }
 }
 
-void Office::vote(int link, const Json& message) {
+void ControlMember::vote(int link, const Json& message) {
     // An earlier epoch's majority may lack what was accepted since: its proposer is told the present one.
     const std::uint64_t epoch = message.at("e");
     if (epoch > core_.epoch) adopt({epoch, message.at("c").get<std::set<std::string>>()});
@@ -246,24 +258,27 @@
     if (accepting) {
         Json value = message.value("v", Json());
         if (message.contains("p")) {
-            if (before.accepted != Ballot{message.at("pr"), message.at("pb")}) return;  // asked again, it gets the whole
+            if (before.accepted != Ballot{message.at("pr"), message.at("pb")})
+                return;  // asked again, it gets the whole
             value = before.value.patch(message["p"]);
         }
         taken = acceptor_.accept(name, ballot, value);
-        if (taken && name.starts_with("lead/")) caution(name.substr(5), value.at("seq"));
-        if (taken && !said(name, value)) unsaid_.try_emplace(name, now_);
+        if (taken && name.starts_with("lead/")) markUnsettled(name.substr(5), value.at("seq"));
+        if (taken && !said(name, value)) unannounced_.try_emplace(name, now_);
     } else {
         taken = acceptor_.promise(name, ballot);
     }
     const Slot& slot = acceptor_.at(name);
     if (taken) {
-        if (slot.promised != before.promised || accepting) outputs_.push_back(ToDisk{"slot/" + name, written(slot)});
+        if (slot.promised != before.promised || accepting)
+            outputs_.push_back(ToDisk{"slot/" + name, written(slot)});
         reply["k"] = accepting ? "accepted" : "promised";
         reply["r"] = ballot.round;
         reply["b"] = ballot.by;
         reply["ar"] = slot.accepted.round;
         reply["ab"] = slot.accepted.by;
-        const bool known = !accepting && slot.accepted.round == message.at("hr") && slot.accepted.by == message.at("hb");
+        const bool known =
+            !accepting && slot.accepted.round == message.at("hr") && slot.accepted.by == message.at("hb");
         if (!accepting && !known) reply["av"] = slot.value;
     } else {
         reply["k"] = "refused";
@@ -277,7 +292,7 @@
 }
 
 // What proposers of this member say goes to its own vote directly.
-void Office::flushProposer(Nanos) {
+void ControlMember::flushProposer(Nanos) {
     for (auto said = proposer_.takeSaid(); !said.empty(); said = proposer_.takeSaid())
         for (auto& [to, message] : said) {
             if (to == self_) {
@@ -288,18 +303,18 @@
         }
 }
 
-void Office::caution(const std::string& service, std::uint64_t seq) {
+void ControlMember::markUnsettled(const std::string& service, std::uint64_t seq) {
     const board::Record* record = board().find("lead/" + service);
     if (record && record->version.major >= seq) return;
-    std::uint64_t& known = cautions_[service];
+    std::uint64_t& known = unsettledLeads_[service];
     known = std::max(known, seq);
 }
 
-Json Office::cautions() const {
-    return Json(cautions_).is_null() ? Json::object() : Json(cautions_);
+Json ControlMember::unsettledLeads() const {
+    return Json(unsettledLeads_).is_null() ? Json::object() : Json(unsettledLeads_);
 }
 
-void Office::rounds(Nanos now) {
+void ControlMember::rounds(Nanos now) {
     if (!core_.epoch || now - roundAt_ < roundEvery) return;
     roundAt_ = now;
     const std::uint64_t no = ++round_;
@@ -309,16 +324,17 @@
     if (votes()) out.second.insert(self_);
     if (out.second.size() >= core_.majority()) leaseUntil_ = std::max(leaseUntil_, now + leaseTime);
     for (const std::string& voter : core_.voters)
-        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, {{"k", "round"}, {"t", no}, {"e", core_.epoch}});
+        if (const int link = voter == self_ ? 0 : linkTo(voter))
+            send(link, {{"k", "round"}, {"t", no}, {"e", core_.epoch}});
 }
 
-std::uint64_t Office::nextAsk(Succession& asker) {
+std::uint64_t ControlMember::nextAsk(Succession& asker) {
     asks_[nextAsk_] = &asker;
     return nextAsk_++;
 }
 
-void Office::change(const std::string& service, std::uint64_t ifSeq, Lead to,
-                    std::function<void(std::optional<Lead>)> done) {
+void ControlMember::change(const std::string& service, std::uint64_t ifSeq, Lead to,
+                           std::function<void(std::optional<Lead>)> done) {
     const std::string name = "lead/" + service;
     const Json wanted = written(to);
     proposer_.begin({name,
@@ -334,13 +350,13 @@
     flushProposer(now_);
 }
 
-int Office::syncReplicas(const std::string& service) const {
-    const waybill::Service* known = waybill_.service(service);
+int ControlMember::syncReplicas(const std::string& service) const {
+    const configuration::Service* known = configuration_.service(service);
     return known ? known->syncReplicas : 1;  // not known yet: as if it had some
 }
 
-void Office::call(std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
-                  const std::string& body, Nanos now) {
+void ControlMember::call(std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
+                         const std::string& body, Nanos now) {
     now_ = now;
     const std::string place = path.empty() ? "" : path[0];
     const std::string what = method + " " + place + (path.size() > 1 ? "/ID" : "");
@@ -355,7 +371,7 @@
     answer(call, known ? Kind::notAllowed : Kind::notFound);
 }
 
-void Office::storeCalled(std::uint64_t call, const std::string& id, const std::string& body, Nanos) {
+void ControlMember::storeCalled(std::uint64_t call, const std::string& id, const std::string& body, Nanos) {
     Json told, now;
     std::uint64_t seq = 0;
     try {
@@ -381,7 +397,7 @@
     answer(call, Kind::taken, "{}");
 }
 
-void Office::storeLeft(std::uint64_t call, const std::string& id) {
+void ControlMember::storeLeft(std::uint64_t call, const std::string& id) {
     const std::string name = "store/" + id;
     const board::Record* known = board().find(name);
     if (known && !known->body.is_null())
@@ -389,31 +405,32 @@
     answer(call, Kind::taken, "{}");
 }
 
-void Office::configSent(std::uint64_t call, const std::string& body, Nanos now) {
+void ControlMember::configSent(std::uint64_t call, const std::string& body, Nanos now) {
     Json sent;
     try {
-        waybill::read(body);
+        configuration::read(body);
         sent = Json::parse(body);
-    } catch (const waybill::Invalid& fault) {
+    } catch (const configuration::Invalid& fault) {
         return answer(call, Kind::notSound, Json{{"fault", fault.what()}}.dump());
     }
     if (!core_.epoch) return answer(call, Kind::unready);
-    proposer_.begin({"config",
-                     [sent](const Json& was) {
-                         if (was.is_object() && was.at("edition") >= sent.at("edition")) return was;
-                         return sent;
-                     },
-                     [this, call](std::optional<Json> stands) {
-                         if (!stands) return answer(call, Kind::noMajority);
-                         learn("config", *stands);
-                         answer(call, Kind::taken, "{}");
-                         outputs_.push_back(ToLog{"configuration " + stands->at("edition").dump() + " acknowledged"});
-                     }},
-                    now, now + changeWithin);
+    proposer_.begin(
+        {"config",
+         [sent](const Json& was) {
+             if (was.is_object() && was.at("edition") >= sent.at("edition")) return was;
+             return sent;
+         },
+         [this, call](std::optional<Json> stands) {
+             if (!stands) return answer(call, Kind::noMajority);
+             learn("config", *stands);
+             answer(call, Kind::taken, "{}");
+             outputs_.push_back(ToLog{"configuration " + stands->at("edition").dump() + " acknowledged"});
+         }},
+        now, now + changeWithin);
     flushProposer(now);
 }
 
-void Office::configAsked(std::uint64_t call, Nanos now) {
+void ControlMember::configAsked(std::uint64_t call, Nanos now) {
     if (!core_.epoch) return answer(call, Kind::unready);
     proposer_.begin({"config", [](const Json& was) { return was; },
                      [this, call](std::optional<Json> stands) {
@@ -426,7 +443,7 @@
     flushProposer(now);
 }
 
-void Office::suspected(const Json& message, Nanos now) {
+void ControlMember::suspected(const Json& message, Nanos now) {
     const std::string service = message.at("service");
     const auto at = successions_.find(service);
     if (at != successions_.end()) at->second->suspected(message.at("store"), now);
@@ -438,7 +455,7 @@
         if (!peer.dialled.empty()) send(link, on);
 }
 
-void Office::storeAnswered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now) {
+void ControlMember::storeAnswered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now) {
     const auto at = asks_.find(ask);
     if (at == asks_.end()) return;
     Succession* asker = at->second;
@@ -446,7 +463,7 @@
     asker->answered(ask, std::move(row), now);
 }
 
-void Office::platformAnswered(std::uint64_t ask, int status, Nanos now) {
+void ControlMember::platformAnswered(std::uint64_t ask, int status, Nanos now) {
     const auto at = asks_.find(ask);
     if (at == asks_.end()) return;
     Succession* asker = at->second;
@@ -455,8 +472,8 @@
 }
 
 // Each service's duty belongs to the voter with the highest value for its name among those in reach.
-void Office::ownDuties(Nanos now) {
-    if (!satchel_.promotes) return;
+void ControlMember::ownDuties(Nanos now) {
+    if (!settings_.promotes) return;
     std::vector<std::string> here;
     for (const std::string& voter : core_.voters) {
         const auto at = memberHeard_.find(voter);
@@ -467,7 +484,9 @@
     board().under("store/", [&](const std::string&, const board::Record& record) {
         if (!record.body.is_object()) return;
         auto& slot = successions_[record.body.at("service").get<std::string>()];
-        if (!slot) slot = std::make_unique<Succession>(self_, record.body.at("service"), leaseTime + driftOfClocks, *this);
+        if (!slot)
+            slot = std::make_unique<Succession>(self_, record.body.at("service"), leaseTime + driftOfClocks,
+                                                *this);
     });
     for (const auto& [service, succession] : successions_) {
         const auto best = std::max_element(here.begin(), here.end(), [&, &name = service](auto& a, auto& b) {
@@ -478,39 +497,42 @@
     }
 }
 
-// What was accepted here and is said by nobody to stand may have been chosen by a proposer that died before it could
-// say so; and after a start nobody has said anything. It is read by a majority, which settles it, and told to all.
-void Office::repair(Nanos now) {
+// What was accepted here and is said by nobody to stand may have been chosen by a proposer that died before
+// it could say so; and after a start nobody has said anything. It is read by a majority, which settles it,
+// and told to all.
+void ControlMember::repair(Nanos now) {
     if (!core_.epoch || recovering_ || now - readAt_ < millis(100)) return;
     readAt_ = now;
     std::vector<std::string> names;
-    const Nanos turn = unsaidFor + static_cast<Nanos>(rank()) * millis(300);
+    const Nanos turn = unannouncedFor + static_cast<Nanos>(rank()) * millis(300);
     if (now - startedAt_ < millis(30'000))
         for (const auto& [name, slot] : acceptor_.all())
-            if (!slot.value.is_null() && !said(name, slot.value)) unsaid_.try_emplace(name, now - unsaidFor + soonAtStart);
-    for (auto& [name, since] : unsaid_)
+            if (!slot.value.is_null() && !said(name, slot.value))
+                unannounced_.try_emplace(name, now - unannouncedFor + soonAtStart);
+    for (auto& [name, since] : unannounced_)
         if (now - since >= turn) names.push_back(name), since = now;
     for (const std::string& name : names)
         proposer_.begin({name, [](const Json& was) { return was; },
                          [this, name](std::optional<Json> stands) {
                              if (!stands) return;
                              learn(name, *stands);
-                             unsaid_.erase(name);
+                             unannounced_.erase(name);
                          }},
                         now, now + changeWithin);
 }
 
-bool Office::here(const std::string& member) const {
+bool ControlMember::here(const std::string& member) const {
     if (member == self_) return true;
     for (const auto& [link, peer] : peers_)
         if (peer.dialled == member || peer.member == member) return true;
     return false;
 }
 
-// Who votes follows who is there: each member of control that stays gets a vote, one that is away for long loses it
-// once another has come in its place. One voter at a time; before each change every register is accepted anew by a
-// majority of the present voters, so that the next epoch's majorities meet one that holds it.
-void Office::manage(Nanos now) {
+// Who votes follows who is there: each member of control that stays gets a vote, one that is away for long
+// loses it once another has come in its place. One voter at a time; before each change every register is
+// accepted anew by a majority of the present voters, so that the next epoch's majorities meet one that holds
+// it.
+void ControlMember::manage(Nanos now) {
     if (!core_.epoch || !votes() || now - managedAt_ < millis(100)) return;
     managedAt_ = now;
     if (reform_) {
@@ -571,28 +593,29 @@
     reform_ = std::move(reform);
 }
 
-void Office::changeCore(Core to, Nanos now) {
+void ControlMember::changeCore(Core to, Nanos now) {
     const Json wanted{{"epoch", to.epoch}, {"voters", to.voters}};
-    proposer_.begin({"core",
-                     [wanted](const Json& was) {
-                         const std::uint64_t epoch = was.is_object() ? was.at("epoch").get<std::uint64_t>() : 1;
-                         return epoch + 1 == wanted.at("epoch") ? wanted : was;
-                     },
-                     [this, wanted](std::optional<Json> stands) {
-                         reform_.reset();
-                         if (!stands || stands->is_null()) return;
-                         learn("core", *stands);
-                         if (*stands == wanted)
-                             outputs_.push_back(ToLog{"core of " + std::to_string(wanted.at("voters").size()) +
-                                                      " voters in epoch " + wanted.at("epoch").dump()});
-                     }},
-                    now, now + changeWithin);
-}
-
-void Office::tick(Nanos now) {
+    proposer_.begin(
+        {"core",
+         [wanted](const Json& was) {
+             const std::uint64_t epoch = was.is_object() ? was.at("epoch").get<std::uint64_t>() : 1;
+             return epoch + 1 == wanted.at("epoch") ? wanted : was;
+         },
+         [this, wanted](std::optional<Json> stands) {
+             reform_.reset();
+             if (!stands || stands->is_null()) return;
+             learn("core", *stands);
+             if (*stands == wanted)
+                 outputs_.push_back(ToLog{"core of " + std::to_string(wanted.at("voters").size()) +
+                                          " voters in epoch " + wanted.at("epoch").dump()});
+         }},
+        now, now + changeWithin);
+}
+
+void ControlMember::tick(Nanos now) {
     now_ = now;
     gossip_.own("member/" + self_,
-                {{"station", satchel_.station}, {"district", satchel_.district}, {"ip", satchel_.ip}});
+                {{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}});
     rounds(now);
     proposer_.tick(now);
     for (std::string& text : proposer_.takeFailures()) outputs_.push_back(ToLog{std::move(text)});
@@ -607,13 +630,15 @@
     flushProposer(now);
 }
 
-Json Office::state(Nanos now) const {
+Json ControlMember::state(Nanos now) const {
     Json leads = Json::object();
     for (const auto& [service, succession] : successions_) leads[service] = {{"phase", succession->phase()}};
-    board().under("lead/", [&](const std::string& name, const board::Record& r) { leads[name.substr(5)]["lead"] = r.body; });
+    board().under("lead/", [&](const std::string& name, const board::Record& r) {
+        leads[name.substr(5)]["lead"] = r.body;
+    });
     const board::Record* config = board().find("config");
     return {{"member", self_},
-            {"station", satchel_.station},
+            {"station", settings_.station},
             {"epoch", core_.epoch},
             {"voters", core_.voters},
             {"votes", votes()},
@@ -624,4 +649,4 @@
             {"leads", leads}};
 }
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -1,6 +1,6 @@
-// One member of control: what the stores, the operator, the fronts and the other members say to it, and what it
-// says, writes and answers. Composes the registers, the registry of stores, the lease and the succession of each
-// service. Free of I/O, clocks and chance: time comes in, outputs go out.
+// One member of control: what the stores, the operator, the fronts and the other members say to it, and what
+// it says, writes and answers. Composes the registers, the registry of stores, the lease and the succession
+// of each service. Free of I/O, clocks and chance: time comes in, outputs go out.
 #pragma once
 
 #include <map>
@@ -10,19 +10,20 @@
 #include <vector>
 
 #include "board/gossip.hpp"
+#include "configuration/configuration.hpp"
+#include "control/outputs.hpp"
+#include "control/register.hpp"
+#include "control/succession.hpp"
 #include "nanos.hpp"
-#include "satchel/satchel.hpp"
-#include "sorting/outputs.hpp"
-#include "sorting/register.hpp"
-#include "sorting/succession.hpp"
-#include "waybill/waybill.hpp"
+#include "settings/settings.hpp"
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
-class Office : public Succession::Means {
+class ControlMember : public Succession::Means {
 public:
     // `incarnation`: drawn anew when the disk is empty, else as it was. `disk`: what was written, by name.
-    Office(const satchel::Satchel& satchel, std::string incarnation, const std::map<std::string, Json>& disk, Nanos now);
+    ControlMember(const settings::Settings& settings, std::string incarnation,
+                  const std::map<std::string, Json>& disk, Nanos now);
 
     // Links to others: `dialled` ones lead to a member at that control address, others come in.
     void linkUp(int link, const std::string& dialled, Nanos now);
@@ -81,10 +82,10 @@
     bool here(const std::string& member) const;
     int linkTo(const std::string& member) const;
     void suspected(const Json& message, Nanos now);
-    Json cautions() const;
-    void caution(const std::string& service, std::uint64_t seq);
+    Json unsettledLeads() const;
+    void markUnsettled(const std::string& service, std::uint64_t seq);
 
-    const satchel::Satchel satchel_;
+    const settings::Settings settings_;
     const std::string self_, incarnation_;
     Outputs outputs_;
     board::Gossip gossip_;
@@ -102,21 +103,22 @@
     std::optional<Reform> reform_;
     Nanos managedAt_ = 0, now_ = 0;
     std::map<std::string, Nanos> memberSince_, voterAway_;
-    std::map<std::string, Nanos> unsaid_;  // registers accepted here that nobody has said to stand
+    std::map<std::string, Nanos> unannounced_;  // registers accepted here that nobody has said to stand
     Recovery recovery_;
     std::map<int, Peer> peers_;
     std::map<std::string, std::string> incarnations_;
     std::map<std::string, Nanos> memberHeard_;
-    std::map<std::string, std::uint64_t> cautions_;  // services whose lead may change: by which change of the lead
+    std::map<std::string, std::uint64_t>
+        unsettledLeads_;  // services whose lead may change: by which change of the lead
     std::map<std::string, std::unique_ptr<Succession>> successions_;
     std::map<std::uint64_t, Succession*> asks_;
     std::uint64_t nextAsk_ = 1, round_ = 0;
     Nanos roundAt_ = 0, leaseUntil_ = 0, startedAt_, readAt_ = 0;
     std::map<std::uint64_t, std::pair<Nanos, std::set<std::string>>> roundsOut_;
-    waybill::Waybill waybill_;
+    configuration::Configuration configuration_;
 };
 
 // How long what was told of leads may be believed, counted from when the question for it was sent.
 constexpr Nanos leaseTime = millis(700);
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/outputs.hpp
+++ b/src/control/outputs.hpp
@@ -1,5 +1,5 @@
-// What the state machines of control want done, in this order: what is written is on disk before anything behind it
-// is sent or answered.
+// What the state machines of control want done, in this order: what is written is on disk before anything
+// behind it is sent or answered.
 #pragma once
 
 #include <cstdint>
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 using Json = nlohmann::json;
 
@@ -52,4 +52,4 @@
 using Output = std::variant<ToLink, ToDisk, ToCaller, ToStore, ToPlatform, ToLog>;
 using Outputs = std::vector<Output>;
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/program.cpp
+++ b/src/control/program.cpp
@@ -1,52 +1,53 @@
-#include "sorting/program.hpp"
+#include "control/program.hpp"
 
 #include <spdlog/spdlog.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <random>
 
-#include "parcel/http.hpp"
-#include "parcel/link.hpp"
-#include "parcel/steady.hpp"
-#include "parcel/storecall.hpp"
-#include "sorting/disk.hpp"
-#include "sorting/office.hpp"
+#include "control/disk.hpp"
+#include "control/member.hpp"
+#include "transport/http.hpp"
+#include "transport/link.hpp"
+#include "transport/steady.hpp"
+#include "transport/store_call.hpp"
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 namespace {
 namespace asio = boost::asio;
-using parcel::Link;
+using transport::Link;
 
 class Program {
 public:
-    Program(const satchel::Satchel& satchel, const std::string& settingsPath)
-        : satchel_(satchel),
+    Program(const settings::Settings& settings, const std::string& settingsPath)
+        : settings_(settings),
           settingsPath_(settingsPath),
           loop_(1),
-          disk_(satchel.dataPath),
-          office_(begin()),
+          disk_(settings.dataPath),
+          member_(begin()),
           ticker_(loop_),
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
-          listener_(loop_, {asio::ip::make_address_v4(satchel.ip), static_cast<unsigned short>(satchel.firstPort)},
-                    [this](std::shared_ptr<parcel::Stream> stream) { linked(std::move(stream), ""); }),
-          http_(loop_, parcel::endpointOf(satchel.controlAddress), 16 * 1024 * 1024,
+          listener_(loop_,
+                    {asio::ip::make_address_v4(settings.ip), static_cast<unsigned short>(settings.firstPort)},
+                    [this](std::shared_ptr<transport::Stream> stream) { linked(std::move(stream), ""); }),
+          http_(loop_, transport::endpointOf(settings.controlAddress), 16 * 1024 * 1024,
                 [this](std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
                        const std::string& body) {
-                    office_.call(call, method, path, body, parcel::steadyNow());
+                    member_.call(call, method, path, body, transport::steadyNow());
                     carryOut();
                 }) {}
 
     int run() {
         listen();
         tick();
-        spdlog::info("control serves at {}", satchel_.controlAddress);
+        spdlog::info("control serves at {}", settings_.controlAddress);
         loop_.run();
         return 0;
     }
 
 private:
-    Office begin() {
+    ControlMember begin() {
         auto all = disk_.all();
         // A member whose disk is empty is another than it was: what the earlier one said counts no more.
         if (!all.count("incarnation")) {
@@ -54,7 +55,7 @@
             all["incarnation"] = std::to_string((std::uint64_t(chance()) << 32) | chance());
             disk_.write("incarnation", all["incarnation"]);
         }
-        return Office(satchel_, all["incarnation"], all, parcel::steadyNow());
+        return ControlMember(settings_, all["incarnation"], all, transport::steadyNow());
     }
 
     void listen() {
@@ -62,9 +63,9 @@
             if (ec) return;
             if (signal == SIGHUP) {
                 try {
-                    satchel::read(settingsPath_);
+                    settings::read(settingsPath_);
                     spdlog::info("settings read again: sound");
-                } catch (const satchel::Unusable& fault) {
+                } catch (const settings::InvalidSettings& fault) {
                     spdlog::warn("settings kept as they were: {}", fault.what());
                 }
                 return listen();
@@ -75,9 +76,9 @@
     }
 
     void tick() {
-        const Nanos now = parcel::steadyNow();
+        const Nanos now = transport::steadyNow();
         dial(now);
-        office_.tick(now);
+        member_.tick(now);
         carryOut();
         ticker_.expires_after(std::chrono::milliseconds(50));
         ticker_.async_wait([this](boost::system::error_code ec) {
@@ -86,15 +87,15 @@
     }
 
     void dial(Nanos now) {
-        for (const std::string& member : office_.toDial()) {
+        for (const std::string& member : member_.toDial()) {
             auto& slot = dialled_[member];
             if (slot.link != 0 || now < slot.notBefore) continue;
             slot.notBefore = now + millis(250);
-            auto where = parcel::endpointOf(member);
-            where.port(static_cast<unsigned short>(satchel_.firstPort));
-            auto made = std::make_shared<std::shared_ptr<parcel::Stream>>();
+            auto where = transport::endpointOf(member);
+            where.port(static_cast<unsigned short>(settings_.firstPort));
+            auto made = std::make_shared<std::shared_ptr<transport::Stream>>();
             slot.link = -1;
-            *made = parcel::Stream::to(loop_, where, 1500, [this, made, member] {
+            *made = transport::Stream::to(loop_, where, 1500, [this, made, member] {
                 const auto stream = *made;
                 made->reset();
                 linked(stream, member);
@@ -104,28 +105,28 @@
         }
     }
 
-    void linked(std::shared_ptr<parcel::Stream> stream, const std::string& dialled) {
+    void linked(std::shared_ptr<transport::Stream> stream, const std::string& dialled) {
         const int no = ++lastLink_;
         auto link = std::make_shared<Link>(std::move(stream));
         links_[no] = link;
         if (!dialled.empty()) dialled_[dialled].link = no;
         link->start(
             [this, no](const nlohmann::json& message) {
-                office_.heard(no, message, parcel::steadyNow());
+                member_.heard(no, message, transport::steadyNow());
                 carryOut();
             },
             [this, no, dialled] {
                 links_.erase(no);
                 if (!dialled.empty() && dialled_[dialled].link == no) dialled_[dialled].link = 0;
-                office_.linkDown(no, parcel::steadyNow());
+                member_.linkDown(no, transport::steadyNow());
                 carryOut();
             });
-        office_.linkUp(no, dialled, parcel::steadyNow());
+        member_.linkUp(no, dialled, transport::steadyNow());
         carryOut();
     }
 
     void carryOut() {
-        for (Outputs outputs = office_.takeOutputs(); !outputs.empty(); outputs = office_.takeOutputs())
+        for (Outputs outputs = member_.takeOutputs(); !outputs.empty(); outputs = member_.takeOutputs())
             for (Output& output : outputs) std::visit([this](auto& each) { carry(each); }, output);
     }
     void carry(ToLink& out) {
@@ -135,49 +136,53 @@
     void carry(ToDisk& out) { disk_.write(out.name, out.body); }
     void carry(ToCaller& out) {
         const Reply reply = replyOf(out.kind);
-        http_.answer(out.call, reply.status, out.body.empty() ? nlohmann::json{{"fault", reply.text}}.dump() : out.body);
+        http_.answer(out.call, reply.status,
+                     out.body.empty() ? nlohmann::json{{"fault", reply.text}}.dump() : out.body);
     }
     void carry(ToLog& out) { spdlog::info("{}", out.line); }
     void carry(ToStore& out) {
-        parcel::storeCall(loop_, parcel::endpointOf(out.address), out.service, out.store, out.text, out.within_ms,
-                          [this, ask = out.ask](std::optional<std::string> row) {
-                              office_.storeAnswered(ask, row ? readRow(*row) : std::nullopt, parcel::steadyNow());
-                              carryOut();
-                          });
+        transport::storeCall(loop_, transport::endpointOf(out.address), out.service, out.store, out.text,
+                             out.within_ms, [this, ask = out.ask](std::optional<std::string> row) {
+                                 member_.storeAnswered(ask, row ? readRow(*row) : std::nullopt,
+                                                       transport::steadyNow());
+                                 carryOut();
+                             });
     }
     void carry(ToPlatform& out) {
-        parcel::httpCall(loop_, parcel::endpointOf(satchel_.platform), "POST", "/promotions",
-                         {{"X-Duty-Holder", satchel_.station}, {"X-Fence-Number", std::to_string(out.fence)}},
-                         nlohmann::json{{"depot", out.service}, {"store_id", out.store}}.dump(), out.within_ms,
-                         [this, ask = out.ask](int status) {
-                             office_.platformAnswered(ask, status, parcel::steadyNow());
-                             carryOut();
-                         });
+        transport::httpCall(
+            loop_, transport::endpointOf(settings_.platform), "POST", "/promotions",
+            {{"X-Duty-Holder", settings_.station}, {"X-Fence-Number", std::to_string(out.fence)}},
+            nlohmann::json{{"depot", out.service}, {"store_id", out.store}}.dump(), out.within_ms,
+            [this, ask = out.ask](int status) {
+                member_.platformAnswered(ask, status, transport::steadyNow());
+                carryOut();
+            });
     }
 
     struct Dialled {
         int link = 0;  // 0: none; -1: being made
         Nanos notBefore = 0;
     };
-    const satchel::Satchel satchel_;
+    const settings::Settings settings_;
     const std::string settingsPath_;
     asio::io_context loop_;
     Disk disk_;
-    Office office_;
+    ControlMember member_;
     asio::steady_timer ticker_;
     asio::signal_set signals_;
     std::map<int, std::shared_ptr<Link>> links_;
     std::map<std::string, Dialled> dialled_;
     int lastLink_ = 0;
-    parcel::Listener listener_;
-    parcel::HttpServer http_;
+    transport::Listener listener_;
+    transport::HttpServer http_;
 };
 }  // namespace
 
-int serve(const satchel::Satchel& satchel, const std::string& settingsPath) {
-    if (satchel.controlAddress.empty()) throw satchel::Unusable("control needs 'listen_on.control_addr'");
-    if (satchel.dataPath.empty()) throw satchel::Unusable("control needs 'data_path'");
-    return Program(satchel, settingsPath).run();
+int serve(const settings::Settings& settings, const std::string& settingsPath) {
+    if (settings.controlAddress.empty())
+        throw settings::InvalidSettings("control needs 'listen_on.control_addr'");
+    if (settings.dataPath.empty()) throw settings::InvalidSettings("control needs 'data_path'");
+    return Program(settings, settingsPath).run();
 }
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/program.hpp
+++ b/src/control/program.hpp
@@ -1,11 +1,11 @@
-// Control as a process: the office's outputs carried out, and what comes in handed to it.
+// Control as a process: the control's outputs carried out, and what comes in handed to it.
 #pragma once
 
-#include "satchel/satchel.hpp"
+#include "settings/settings.hpp"
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 // Serves until SIGTERM. Returns the exit code; throws std::exception where it can't begin.
-int serve(const satchel::Satchel& satchel, const std::string& settingsPath);
+int serve(const settings::Settings& settings, const std::string& settingsPath);
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/register.cpp
+++ b/src/control/register.cpp
@@ -1,14 +1,17 @@
-#include "sorting/register.hpp"
+#include "control/register.hpp"
 
 #include <algorithm>
 
 #include "board/board.hpp"
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 Json written(const Slot& slot) {
-    return {{"pr", slot.promised.round}, {"pb", slot.promised.by}, {"ar", slot.accepted.round},
-            {"ab", slot.accepted.by},    {"v", slot.value}};
+    return {{"pr", slot.promised.round},
+            {"pb", slot.promised.by},
+            {"ar", slot.accepted.round},
+            {"ab", slot.accepted.by},
+            {"v", slot.value}};
 }
 
 Slot readSlot(const Json& text) {
@@ -110,12 +113,13 @@
         // `r`, `b`: what it has promised; so the next try is above it.
         highestRound_ = std::max(highestRound_, ballot.round);
         if (running.paused || ballot <= running.ballot) return;
-        // Two at once: the pause grows with how long a round takes here, and by a part that their names make differ,
-        // so that one of them gets through.
+        // Two at once: the pause grows with how long a round takes here, and by a part that their names make
+        // differ, so that one of them gets through.
         running.paused = true;
         running.clashes = std::min(running.clashes + 1, 6);
         const Nanos round = std::min(now - running.sentAt, millis(200)) + millis(4);
-        const auto part = static_cast<Nanos>(std::hash<std::string>()(self_ + std::to_string(running.ballot.round)) % 64);
+        const auto part =
+            static_cast<Nanos>(std::hash<std::string>()(self_ + std::to_string(running.ballot.round)) % 64);
         running.resumeAt = now + round * running.clashes * (32 + part) / 32;
         return;
     }
@@ -125,7 +129,8 @@
         held = {answer.at("ar"), answer.at("ab")};
         if (running.best < held) {
             // What it does not send is what this member held when it asked.
-            if (!answer.contains("av") && held_(running.change.name).accepted != held) return ask(found->first, running, from);
+            if (!answer.contains("av") && held_(running.change.name).accepted != held)
+                return ask(found->first, running, from);
             running.was = answer.contains("av") ? answer["av"] : held_(running.change.name).value;
             running.best = held;
         }
@@ -142,7 +147,8 @@
     // What a majority holds under one ballot is chosen already: nothing need be written to read it.
     const auto same = std::count_if(running.answered.begin(), running.answered.end(),
                                     [&](const auto& each) { return each.second == running.best; });
-    if (!running.change.anew && value == running.was && static_cast<std::size_t>(same) >= majority) return end(no, std::move(value));
+    if (!running.change.anew && value == running.was && static_cast<std::size_t>(same) >= majority)
+        return end(no, std::move(value));
     running.value = std::move(value);
     running.accepting = true;
     running.promised = std::exchange(running.answered, {});
@@ -172,7 +178,8 @@
     }
     for (const std::uint64_t no : over) {
         const Running& running = running_.at(no);
-        std::string text = running.change.name + ": no majority; " + (running.accepting ? "accepted by" : "promised by");
+        std::string text =
+            running.change.name + ": no majority; " + (running.accepting ? "accepted by" : "promised by");
         for (const auto& [voter, held] : running.answered) text += " " + voter;
         text += " of";
         for (const std::string& voter : core_.voters) text += " " + voter;
@@ -189,4 +196,4 @@
     done(std::move(value));
 }
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/register.hpp
+++ b/src/control/register.hpp
@@ -1,7 +1,8 @@
-// Registers that outlive machines: for each name a value that is changed by a function of what it was, held by a
-// majority of the core's disks before anyone is told (CASPaxos, Rystsov 2018: a round of promises, a round of
-// acceptances; no log and no leader). Two proposers at once may make each other begin anew; of what was once chosen
-// nothing is lost, and no two changes are built on the same value. Free of I/O, clocks and chance.
+// Registers that outlive machines: for each name a value that is changed by a function of what it was, held
+// by a majority of the core's disks before anyone is told (CASPaxos, Rystsov 2018: a round of promises, a
+// round of acceptances; no log and no leader). Two proposers at once may make each other begin anew; of what
+// was once chosen nothing is lost, and no two changes are built on the same value. Free of I/O, clocks and
+// chance.
 #pragma once
 
 #include <compare>
@@ -16,7 +17,7 @@
 
 #include "nanos.hpp"
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 using Json = nlohmann::json;
 
@@ -26,8 +27,9 @@
     auto operator<=>(const Ballot&) const = default;
 };
 
-// Who votes, and since which change of that. A change adds or takes away one voter, so that majorities of an epoch
-// and of the next have a member in common; before a further one all registers are accepted anew (Office::manage).
+// Who votes, and since which change of that. A change adds or takes away one voter, so that majorities of an
+// epoch and of the next have a member in common; before a further one all registers are accepted anew
+// (ControlMember::manage).
 struct Core {
     std::uint64_t epoch = 0;  // 0: not known
     std::set<std::string> voters;
@@ -59,8 +61,8 @@
     std::map<std::string, Slot> slots_;
 };
 
-// A change under way. `change` is given the value as it was (null: none) and returns it as it shall be; it may be
-// called more than once, and gives back the same to change nothing.
+// A change under way. `change` is given the value as it was (null: none) and returns it as it shall be; it
+// may be called more than once, and gives back the same to change nothing.
 struct Change {
     std::string name;
     std::function<Json(const Json&)> change;
@@ -75,8 +77,8 @@
 public:
     struct Said {
         std::string to;
-        // {"k": "prepare" | "accept", "n", "r", "b", "t", "e": epoch, "c": voters, ("v")}; a question's "hr", "hb" say
-        // which accepted value the asker holds itself, so that it need not be sent.
+        // {"k": "prepare" | "accept", "n", "r", "b", "t", "e": epoch, "c": voters, ("v")}; a question's "hr",
+        // "hb" say which accepted value the asker holds itself, so that it need not be sent.
         Json message;
     };
     // `held`: what this member's own acceptor holds of a register.
@@ -86,13 +88,15 @@
     // What is under way begins anew with the voters of a later epoch.
     void core(Core core, Nanos now);
     const Core& core() const { return core_; }
-    // A member that has lost its disk answers anew under another incarnation: what it said before counts no more.
+    // A member that has lost its disk answers anew under another incarnation: what it said before counts no
+    // more.
     void forgets(const std::string& voter);
 
     void begin(Change change, Nanos now, Nanos until);
     // A link to this voter is there anew: what it has not answered is asked again.
     void reached(const std::string& voter);
-    // An answer to a message of ours: {"k": "promised" | "accepted" | "refused", "t", "r", "b", ("ar", "ab", "av")}.
+    // An answer to a message of ours: {"k": "promised" | "accepted" | "refused", "t", "r", "b", ("ar", "ab",
+    // "av")}.
     void heard(const std::string& from, const Json& answer, Nanos now);
     void tick(Nanos now);
     std::vector<Said> takeSaid() { return std::exchange(said_, {}); }
@@ -126,4 +130,4 @@
     std::vector<std::string> failures_;
 };
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/succession.cpp
+++ b/src/control/succession.cpp
@@ -1,15 +1,15 @@
-#include "sorting/succession.hpp"
+#include "control/succession.hpp"
 
 #include <algorithm>
 #include <sstream>
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 namespace {
 // A store that is well answers STATUS within a few ms; slow ones within a few times a statement's work.
 constexpr int statusWithin_ms = 300;
-// A lead under suspicion is given less: while the register is written and the lease runs out it is asked again, and
-// leads on if it answers.
+// A lead under suspicion is given less: while the register is written and the lease runs out it is asked
+// again, and leads on if it answers.
 constexpr int checkWithin_ms = 150;
 // A lead that was found well is not looked at again for this long, whoever complains.
 constexpr Nanos believed = millis(400);
@@ -31,8 +31,9 @@
 }
 
 Json written(const Lead& lead) {
-    return {{"store", lead.store}, {"term", lead.term},     {"seq", lead.seq},          {"fence", lead.fence},
-            {"holder", lead.holder}, {"steady", lead.steady}, {"replicas", lead.replicas}};
+    return {{"store", lead.store},      {"term", lead.term},     {"seq", lead.seq},
+            {"fence", lead.fence},      {"holder", lead.holder}, {"steady", lead.steady},
+            {"replicas", lead.replicas}};
 }
 
 std::optional<Lead> readLead(const Json& body) {
@@ -48,8 +49,8 @@
     return lead;
 }
 
-Succession::Succession(std::string self, std::string service, Nanos lease, Means& office)
-    : self_(std::move(self)), service_(std::move(service)), lease_(lease), office_(office) {}
+Succession::Succession(std::string self, std::string service, Nanos lease, Means& means)
+    : self_(std::move(self)), service_(std::move(service)), lease_(lease), means_(means) {}
 
 const char* Succession::phase() const {
     static const char* const names[] = {"idle",    "founding",  "checking", "guarding",
@@ -58,16 +59,16 @@
 }
 
 void Succession::log(const std::string& line) {
-    office_.outputs().push_back(ToLog{"lead of " + service_ + ": " + line});
+    means_.outputs().push_back(ToLog{"lead of " + service_ + ": " + line});
 }
 
 std::optional<Lead> Succession::known() const {
-    const board::Record* record = office_.board().find("lead/" + service_);
+    const board::Record* record = means_.board().find("lead/" + service_);
     return record ? readLead(record->body) : std::nullopt;
 }
 
 const Json* Succession::record(const std::string& store) const {
-    const board::Record* found = office_.board().find("store/" + store);
+    const board::Record* found = means_.board().find("store/" + store);
     return found && found->body.is_object() ? &found->body : nullptr;
 }
 
@@ -78,7 +79,7 @@
 
 std::vector<std::string> Succession::listed() const {
     std::vector<std::string> all;
-    office_.board().under("store/", [&](const std::string& name, const board::Record& r) {
+    means_.board().under("store/", [&](const std::string& name, const board::Record& r) {
         if (r.body.is_object() && r.body.value("service", "") == service_) all.push_back(name.substr(6));
     });
     return all;
@@ -92,10 +93,10 @@
 void Succession::ask(const std::string& store, int what, const std::string& text, int within_ms, Nanos now) {
     const Json* body = record(store);
     if (!body) return;
-    const std::uint64_t no = office_.nextAsk(*this);
+    const std::uint64_t no = means_.nextAsk(*this);
     asks_[no] = Ask{store, static_cast<decltype(Ask::what)>(what)};
     askedAt_ = now;
-    office_.outputs().push_back(ToStore{no, store, service_, body->value("address", ""), text, within_ms});
+    means_.outputs().push_back(ToStore{no, store, service_, body->value("address", ""), text, within_ms});
 }
 
 void Succession::own(bool mine, Nanos now) {
@@ -135,14 +136,16 @@
                 guard(now, true);
                 break;
             }
-            // Who belongs to the service is kept with the lead, as after a loss only that tells who must be heard.
+            // Who belongs to the service is kept with the lead, as after a loss only that tells who must be
+            // heard.
             std::set<std::string> replicas;
             for (const std::string& store : listed())
                 if (store != lead->store) replicas.insert(store);
             if (replicas != lead->replicas && now >= quietUntil_) {
-                // One that the registry lacks may only not have called yet: it stays until it is known to be gone.
+                // One that the registry lacks may only not have called yet: it stays until it is known to be
+                // gone.
                 for (const std::string& store : lead->replicas) {
-                    const board::Record* r = office_.board().find("store/" + store);
+                    const board::Record* r = means_.board().find("store/" + store);
                     if (!r || !r->body.is_null()) replicas.insert(store);
                 }
                 if (replicas == lead->replicas) break;
@@ -150,7 +153,7 @@
                 next.replicas = replicas;
                 ++next.seq;
                 changing_ = true;
-                office_.change(service_, lead->seq, next, [this](auto) { changing_ = false; });
+                means_.change(service_, lead->seq, next, [this](auto) { changing_ = false; });
             }
             break;
         }
@@ -194,8 +197,8 @@
     }
 }
 
-// Has it written to a majority that the lead may change; from a lease later on no front reads from the old lead
-// without proof. The fence grows, so that what an earlier owner still sends changes nothing.
+// Has it written to a majority that the lead may change; from a lease later on no front reads from the old
+// lead without proof. The fence grows, so that what an earlier owner still sends changes nothing.
 void Succession::guard(Nanos now, bool planned) {
     const auto lead = known();
     if (!lead) return;
@@ -212,7 +215,7 @@
     ++next.fence;
     ++next.seq;
     changing_ = true;
-    office_.change(service_, lead->seq, next, [this, planned](std::optional<Lead> stands) {
+    means_.change(service_, lead->seq, next, [this, planned](std::optional<Lead> stands) {
         changing_ = false;
         if (!stands || phase_ != Phase::guarding) return;
         lead_ = *stands;
@@ -227,7 +230,8 @@
 
 void Succession::pauseAll(Nanos now) {
     if (guardedAt_ == 0) guardedAt_ = since_ = now;
-    // All are asked how far they are and which term is newest, then those that must stand still are paused above it.
+    // All are asked how far they are and which term is newest, then those that must stand still are paused
+    // above it.
     std::vector<std::string> others(lead_.replicas.begin(), lead_.replicas.end());
     for (const std::string& store : listed())
         if (store != lead_.store && !lead_.replicas.count(store)) others.push_back(store);
@@ -254,10 +258,12 @@
     for (const std::string& store : listed())
         if (store != lead_.store) needed.insert(store);
     std::size_t heard = 0;
-    for (const std::string& store : needed) heard += planned_ && store == target_ ? rows_.count(store) : paused_.count(store);
+    for (const std::string& store : needed)
+        heard += planned_ && store == target_ ? rows_.count(store) : paused_.count(store);
     // An acknowledged commit is on as many replicas as are synchronous: of any others one may be missing.
-    const auto sync = static_cast<std::size_t>(std::max(0, office_.syncReplicas(service_)));
-    const std::size_t mayMiss = sync == 0 ? needed.size() - std::min<std::size_t>(1, needed.size()) : sync - 1;
+    const auto sync = static_cast<std::size_t>(std::max(0, means_.syncReplicas(service_)));
+    const std::size_t mayMiss =
+        sync == 0 ? needed.size() - std::min<std::size_t>(1, needed.size()) : sync - 1;
     if (needed.empty() || heard + mayMiss < needed.size()) return;
     if (planned_) {
         Mark furthest;
@@ -279,10 +285,10 @@
 void Succession::promote(const std::string& target, Nanos now) {
     target_ = target;
     to(Phase::promoting, now);
-    const std::uint64_t no = office_.nextAsk(*this);
+    const std::uint64_t no = means_.nextAsk(*this);
     asks_[no] = Ask{target, Ask::promote};
     log("promoting " + target + " with fence " + std::to_string(lead_.fence));
-    office_.outputs().push_back(ToPlatform{no, service_, target, self_, lead_.fence, 1200});
+    means_.outputs().push_back(ToPlatform{no, service_, target, self_, lead_.fence, 1200});
 }
 
 void Succession::promoted(std::uint64_t no, int status, Nanos now) {
@@ -321,7 +327,7 @@
             for (const std::string& store : listed())
                 if (store != asked.store) lead.replicas.insert(store);
             changing_ = true;
-            office_.change(service_, 0, lead, [this](std::optional<Lead> stands) {
+            means_.change(service_, 0, lead, [this](std::optional<Lead> stands) {
                 changing_ = false;
                 if (stands) log("is " + stands->store + " in term " + std::to_string(stands->term));
             });
@@ -335,8 +341,8 @@
             return guard(now, false);
         case Phase::pausing:
             if (!row) {
-                // Perhaps it was paused and the answer was lost, as the same term would be refused then; or it leads
-                // by now. It is asked how it is, then paused above that.
+                // Perhaps it was paused and the answer was lost, as the same term would be refused then; or
+                // it leads by now. It is asked how it is, then paused above that.
                 if (asked.what == Ask::pause) {
                     ++pauseTerm_;
                     refused_.insert(asked.store);
@@ -374,7 +380,7 @@
     next.replicas.insert(lead_.store);
     next.replicas.erase(store);
     std::erase_if(next.replicas, [&](const std::string& each) {
-        const board::Record* r = office_.board().find("store/" + each);
+        const board::Record* r = means_.board().find("store/" + each);
         return r && r->body.is_null();
     });
     next.store = store;
@@ -382,7 +388,7 @@
     next.steady = true;
     ++next.seq;
     changing_ = true;
-    office_.change(service_, lead_.seq, next, [this](std::optional<Lead> stands) {
+    means_.change(service_, lead_.seq, next, [this](std::optional<Lead> stands) {
         changing_ = false;
         if (stands) log("is " + stands->store + " in term " + std::to_string(stands->term));
     });
@@ -404,9 +410,9 @@
     next.steady = true;
     ++next.seq;
     changing_ = true;
-    office_.change(service_, lead_.seq, next, [this](auto) { changing_ = false; });
+    means_.change(service_, lead_.seq, next, [this](auto) { changing_ = false; });
     quietUntil_ = now + millis(1000);
     to(Phase::idle, now);
 }
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/control/succession.hpp
+++ b/src/control/succession.hpp
@@ -1,6 +1,7 @@
-// Who leads a service, and how the lead passes on: planned, from a primary that winds down, or after a primary's
-// death. One member of the core owns this duty for a service at a time; the register of the lead carries the fence.
-// Free of I/O, clocks and chance. docs/system.md has the argument for why nothing acknowledged is lost.
+// Who leads a service, and how the lead passes on: planned, from a primary that winds down, or after a
+// primary's death. One member of the core owns this duty for a service at a time; the register of the lead
+// carries the fence. Free of I/O, clocks and chance. docs/system.md has the argument for why nothing
+// acknowledged is lost.
 #pragma once
 
 #include <functional>
@@ -11,11 +12,11 @@
 #include <vector>
 
 #include "board/board.hpp"
+#include "control/outputs.hpp"
 #include "mark.hpp"
 #include "nanos.hpp"
-#include "sorting/outputs.hpp"
 
-namespace granitereel::sorting {
+namespace granitereel::control {
 
 // What a store says of itself: "role term position-received term-held lag-ms busy connections".
 struct StoreRow {
@@ -30,8 +31,8 @@
 struct Lead {
     std::string store;
     std::uint64_t term = 0, seq = 0, fence = 0;
-    std::string holder;     // the member that owns the duty
-    bool steady = false;    // no promotion may be under way
+    std::string holder;   // the member that owns the duty
+    bool steady = false;  // no promotion may be under way
     std::set<std::string> replicas;
 };
 Json written(const Lead& lead);
@@ -39,8 +40,8 @@
 
 class Succession {
 public:
-    // What it needs of the office: a change of the lead's register by compare and set on `seq`, and the numbers of
-    // asks.
+    // What it needs of the member: a change of the lead's register by compare and set on `seq`, and the
+    // numbers of asks.
     struct Means {
         virtual ~Means() = default;
         virtual Outputs& outputs() = 0;
@@ -52,7 +53,7 @@
     };
 
     // `lease`: how long a front may believe what it was told of the lead without asking again.
-    Succession(std::string self, std::string service, Nanos lease, Means& office);
+    Succession(std::string self, std::string service, Nanos lease, Means& means);
 
     // Whether this member is the one that ought to act now.
     void own(bool mine, Nanos now);
@@ -87,7 +88,7 @@
 
     const std::string self_, service_;
     const Nanos lease_;
-    Means& office_;
+    Means& means_;
     Phase phase_ = Phase::idle;
     Nanos since_ = 0, guardedAt_ = 0, quietUntil_ = 0, askedAt_ = 0;
     bool mine_ = false, planned_ = false, changing_ = false, deadHeard_ = false;
@@ -100,4 +101,4 @@
     std::map<std::uint64_t, Ask> asks_;
 };
 
-}  // namespace granitereel::sorting
+}  // namespace granitereel::control
--- a/src/policy/pick.cpp
+++ b/src/policy/pick.cpp
@@ -70,9 +70,9 @@
             auto empty = [&](Store* s) { return s->pool == Pool::premium && s->load[0] == 0; };
             if (Store* s = least(empty, [](Store* m) { return m->load[1]; })) return borrow(s);
         }
-        // Departure: with one replica a tier, the own zone's is the other tier's for half of the reads. While its
-        // reads of both tiers stay below the threshold it is used without being borrowed; it guards against
-        // crossing zones for nothing, and may hurt where the other tier's burst comes a moment later.
+        // Departure: with one replica a tier, the own zone's is the other tier's for half of the reads.
+        // While its reads of both tiers stay below the threshold it is used without being borrowed; it guards
+        // against crossing zones for nothing, and may hurt where the other tier's burst comes a moment later.
         if (near && charter_.nearAnyTier && calm)
             if (Store* s = least([](Store*) { return true; }, bothLoads); s && bothLoads(s) < theta) return s;
         if (near) continue;
--- a/src/proxy/horizon.cpp
+++ b/src/proxy/horizon.cpp
@@ -1,8 +1,8 @@
-#include "counter/horizon.hpp"
+#include "proxy/horizon.hpp"
 
 #include <algorithm>
 
-namespace granitereel::counter {
+namespace granitereel::proxy {
 
 namespace {
 // Pairs closer together than this tell no more; kept for longer than any staleness worth a replica.
@@ -11,13 +11,14 @@
 }  // namespace
 
 void Horizon::saw(const Mark& mark, Nanos asked) {
-    // Answers overtake each other: one to a later question may show less than one heard before, and covers its
-    // moment all the same only with the greater of both.
+    // Answers overtake each other: one to a later question may show less than one heard before, and covers
+    // its moment all the same only with the greater of both.
     if (!pairs_.empty()) {
         Pair& last = pairs_.back();
         if (asked <= last.asked) return;
         const Mark most = std::max(mark, last.mark);
-        if (asked - last.asked < apart && pairs_.size() > 1 && asked - pairs_[pairs_.size() - 2].asked < apart) {
+        if (asked - last.asked < apart && pairs_.size() > 1 &&
+            asked - pairs_[pairs_.size() - 2].asked < apart) {
             last = {most, asked};
             return;
         }
@@ -52,4 +53,4 @@
     return pairs_.back().asked;
 }
 
-}  // namespace granitereel::counter
+}  // namespace granitereel::proxy
--- a/src/proxy/horizon.hpp
+++ b/src/proxy/horizon.hpp
@@ -1,6 +1,7 @@
-// What is known of a service's log: pairs of a position and a moment, each saying that every commit acknowledged
-// before the moment lies at or below the position. A pair comes from an answer of the store that had the lead for
-// certain when the question was sent; so a read behind AFTER that position misses nothing acknowledged before.
+// What is known of a service's log: pairs of a position and a moment, each saying that every commit
+// acknowledged before the moment lies at or below the position. A pair comes from an answer of the store that
+// had the lead for certain when the question was sent; so a read behind AFTER that position misses nothing
+// acknowledged before.
 #pragma once
 
 #include <deque>
@@ -9,7 +10,7 @@
 #include "mark.hpp"
 #include "nanos.hpp"
 
-namespace granitereel::counter {
+namespace granitereel::proxy {
 
 class Horizon {
 public:
@@ -19,7 +20,8 @@
     std::optional<Mark> covering(Nanos since) const;
     // As that, and of this term or a later one.
     std::optional<Mark> covering(Nanos since, std::uint64_t term) const;
-    // Every commit acknowledged before this lies at or below the position; none: nothing of the kind is known.
+    // Every commit acknowledged before this lies at or below the position; none: nothing of the kind is
+    // known.
     std::optional<Nanos> holds(const Mark& mark) const;
     // The latest moment for which anything is known.
     std::optional<Nanos> newest() const;
@@ -33,4 +35,4 @@
     std::deque<Pair> pairs_;  // both grow
 };
 
-}  // namespace granitereel::counter
+}  // namespace granitereel::proxy
--- a/src/proxy/pooler.cpp
+++ b/src/proxy/pooler.cpp
@@ -1,13 +1,14 @@
-#include "counter/pooler.hpp"
+#include "proxy/pooler.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace granitereel::counter {
+namespace granitereel::proxy {
 
 namespace {
 using Kind = Statement::Kind;
-// Among tries that nothing ran of: enough to pass a store that lags, one that has lost the lead and one that is full.
+// Among tries that nothing ran of: enough to pass a store that lags, one that has lost the lead and one that
+// is full.
 constexpr int launchLimit = 8;
 // A client that must come back is told to do so after this.
 constexpr int comeBack_ms = 100;
@@ -20,10 +21,10 @@
 constexpr Nanos idleLine = millis(25'000);
 constexpr std::size_t queuedMost = 1 << 20;
 
-Charter charterOf(const satchel::Satchel& satchel, int zone) {
+Charter charterOf(const settings::Settings& settings, int zone) {
     Charter charter;
     // Pools are dealt rotated by a number of the front's own.
-    charter.front = static_cast<int>(std::hash<std::string>()(satchel.station) % 1024);
+    charter.front = static_cast<int>(std::hash<std::string>()(settings.station) % 1024);
     charter.zone = zone;
     charter.launchLimit = launchLimit;
     charter.mayProbe = charter.mayCancel = charter.adviceHeard = true;
@@ -36,13 +37,13 @@
 }
 }  // namespace
 
-Pooler::Pooler(const satchel::Satchel& satchel, std::uint64_t seed, Nanos now)
-    : satchel_(satchel),
+Pooler::Pooler(const settings::Settings& settings, std::uint64_t seed, Nanos now)
+    : settings_(settings),
       now_(now),
-      gossip_([this](int, Json message) { outputs_.push_back(ToCourier{std::move(message)}); },
+      gossip_([this](int, Json message) { outputs_.push_back(ToAgent{std::move(message)}); },
               [this](const std::string& name, const board::Record& record) { news(name, record); }),
-      front_(charterOf(satchel, 0), seed, now, *this) {
-    districts_[satchel.district] = 0;
+      front_(charterOf(settings, 0), seed, now, *this) {
+    districts_[settings.district] = 0;
 }
 
 Pooler::~Pooler() = default;
@@ -142,11 +143,13 @@
 }
 
 void Pooler::configNews(const Json& body) {
-    // Of what stands on the board only higher versions come here; what was once in force is never gone back from.
-    waybill_ = waybill::read(body);
+    // Of what stands on the board only higher versions come here; what was once in force is never gone back
+    // from.
+    configuration_ = configuration::read(body);
     configured_ = true;
-    for (const waybill::Service& each : waybill_.services) service(each.name).berthCap = each.berthCap;
-    outputs_.push_back(ToLog{"configuration " + std::to_string(waybill_.edition) + " in force"});
+    for (const configuration::Service& each : configuration_.services)
+        service(each.name).berthCap = each.berthCap;
+    outputs_.push_back(ToLog{"configuration " + std::to_string(configuration_.edition) + " in force"});
 }
 
 void Pooler::storeNews(const std::string& id, const Json& body) {
@@ -185,9 +188,11 @@
 void Pooler::standing(Store& store) {
     Service& of = *store.service;
     Standing to = store.gone ? Standing::removed : store.windingSince ? Standing::draining : Standing::up;
-    if (to == Standing::draining && of.lead == store.id && now_ - store.windingSince < millis(satchel_.drain_ms - 1500))
+    if (to == Standing::draining && of.lead == store.id &&
+        now_ - store.windingSince < millis(settings_.drain_ms - 1500))
         to = Standing::up;
-    const int zone = districts_.try_emplace(store.district, static_cast<int>(districts_.size())).first->second;
+    const int zone =
+        districts_.try_emplace(store.district, static_cast<int>(districts_.size())).first->second;
     front_.listBegins(false);
     front_.listEntry(store.id, of.group, zone, to, 0, false);
     front_.listEnds();
@@ -206,8 +211,8 @@
     for (auto& [id, store] : of.stores)
         if (store->windingSince) standing(*store);
     outputs_.push_back(ToLog{name + " is led by " + of.lead + " in term " + std::to_string(of.term)});
-    // Whatever of ours is open at the old lead ends there: its plain transactions can't go on, and what it was
-    // asked to commit it will not answer for.
+    // Whatever of ours is open at the old lead ends there: its plain transactions can't go on, and what it
+    // was asked to commit it will not answer for.
     std::vector<Line*> old;
     for (auto& [no, line] : lines_)
         if (line->store->id == before && !before.empty() && line->user && !line->dead) {
@@ -232,8 +237,9 @@
 }
 
 bool Pooler::provable(const Service& of) const {
-    const auto caution = cautions_.find(of.name);
-    return of.steady && now_ < leaseUntil_ && (caution == cautions_.end() || caution->second <= of.seq);
+    const auto markUnsettled = unsettledLeads_.find(of.name);
+    return of.steady && now_ < leaseUntil_ &&
+           (markUnsettled == unsettledLeads_.end() || markUnsettled->second <= of.seq);
 }
 
 int Pooler::share(const Service& of) const {
@@ -241,21 +247,21 @@
     return of.berthCap == 0 ? 64 : std::max(1, (of.berthCap - 2) / fronts_);
 }
 
-void Pooler::courierUp(Nanos now) {
+void Pooler::agentUp(Nanos now) {
     begin(now);
-    courier_ = true;
+    agent_ = true;
     askedAt_ = 0;
     gossip_.join(1);
     settle();
 }
 
-void Pooler::courierDown() {
-    courier_ = false;
+void Pooler::agentDown() {
+    agent_ = false;
     gossip_.leave(1);
     leaseAsks_.clear();
 }
 
-void Pooler::courierSaid(const Json& message, Nanos now) {
+void Pooler::agentSaid(const Json& message, Nanos now) {
     begin(now);
     const std::string kind = message.at("k");
     if (kind == "news" || kind == "whole?") {
@@ -266,8 +272,9 @@
             const Nanos left = message.at("left").get<std::int64_t>() * 1000;
             if (left > 0) leaseUntil_ = std::max(leaseUntil_, asked->second + left);
             leaseAsks_.erase(leaseAsks_.begin(), std::next(asked));
-            cautions_.clear();
-            for (const auto& [name, seq] : message.at("c").items()) cautions_[name] = seq.get<std::uint64_t>();
+            unsettledLeads_.clear();
+            for (const auto& [name, seq] : message.at("c").items())
+                unsettledLeads_[name] = seq.get<std::uint64_t>();
         }
     }
     settle();
@@ -286,9 +293,9 @@
 void Pooler::suspect(Store& store, const char* why) {
     if (!store.service || store.service->lead != store.id || now_ - store.suspectedAt < silent) return;
     store.suspectedAt = now_;
-    if (courier_)
+    if (agent_)
         outputs_.push_back(
-            ToCourier{{{"k", "suspect"}, {"service", store.service->name}, {"store", store.id}, {"why", why}}});
+            ToAgent{{{"k", "suspect"}, {"service", store.service->name}, {"store", store.id}, {"why", why}}});
 }
 
 // ---- clients --------------------------------------------------------------------------------------
@@ -380,7 +387,8 @@
             query(s, readStatement(id, rest));
             continue;
         }
-        if (word != "BYE") outputs_.push_back(ToClient{client, errorLine(Error::malformed, "no such message")});
+        if (word != "BYE")
+            outputs_.push_back(ToClient{client, errorLine(Error::malformed, "no such message")});
         outputs_.push_back(EndClient{client});
         return remove(client);
     }
@@ -388,7 +396,7 @@
 
 void Pooler::greet(Session& s, std::string_view rest) {
     const std::string_view database = takeField(rest);
-    if (configured_ && waybill_.route(std::string(database))) {
+    if (configured_ && configuration_.route(std::string(database))) {
         s.database = database;
         s.greeted = true;
         outputs_.push_back(ToClient{s.client, "READY I -\r\n"});
@@ -444,7 +452,7 @@
         case Kind::begin:
         case Kind::beginRead: {
             if (s.state != 'I') return refuse(s, Error::malformed, "in a transaction already", s.state);
-            const waybill::Route* route = waybill_.route(s.database);
+            const configuration::Route* route = configuration_.route(s.database);
             if (!route) return refuse(s, Error::nosuchdb, "no such database any more", 'I');
             ++counts_.transactions;
             s.tx.emplace();
@@ -468,13 +476,13 @@
     }
 }
 
-int Pooler::laneOf(const waybill::Route& route, bool writes, bool transaction) {
+int Pooler::laneOf(const configuration::Route& route, bool writes, bool transaction) {
     Lane lane;
     const bool plain = writes;
-    lane.need = plain                                          ? Need::write
-                : route.mode == waybill::Mode::headOffice      ? Need::fresh
-                : route.mode == waybill::Mode::ageBounded      ? Need::bounded
-                                                               : Need::session;
+    lane.need = plain                                           ? Need::write
+                : route.mode == configuration::Mode::headOffice ? Need::fresh
+                : route.mode == configuration::Mode::ageBounded ? Need::bounded
+                                                                : Need::session;
     lane.effect = plain || transaction ? Effect::oneShot : Effect::harmless;
     lane.goalTime = millis(route.target_ms);
     lane.cutOff = millis(route.deadline_ms);
@@ -482,14 +490,15 @@
     // Only order and ratio count: each step of precedence halves what is earned.
     lane.gain = 4.0 / double(1 << std::min(route.precedence, 8));
     lane.lateShare = 0.3;
-    lane.name = std::to_string(static_cast<int>(lane.need)) + "/" + std::to_string(static_cast<int>(lane.effect)) + "/" +
-                std::to_string(route.target_ms) + "/" + std::to_string(route.deadline_ms) + "/" +
-                std::to_string(route.staleness_ms) + "/" + std::to_string(route.precedence);
+    lane.name = std::to_string(static_cast<int>(lane.need)) + "/" +
+                std::to_string(static_cast<int>(lane.effect)) + "/" + std::to_string(route.target_ms) + "/" +
+                std::to_string(route.deadline_ms) + "/" + std::to_string(route.staleness_ms) + "/" +
+                std::to_string(route.precedence);
     return front_.lane(lane);
 }
 
 void Pooler::run(Session& s, Statement statement) {
-    const waybill::Route* route = s.tx ? &s.tx->route : waybill_.route(s.database);
+    const configuration::Route* route = s.tx ? &s.tx->route : configuration_.route(s.database);
     if (!route) return refuse(s, Error::nosuchdb, "no such database any more", s.state);
     Op op;
     op.commit = statement.kind == Kind::commit;
@@ -520,7 +529,7 @@
     byKey_[s.op->key] = &s;
     const Nanos seen = std::max(s.ownAt, now_ - millis(route->staleness_ms));
     front_.take(s.op->key, s.op->lane, "", millis(route->deadline_ms), service(route->service).group,
-                route->mode == waybill::Mode::own ? std::optional<Nanos>(now_ - seen) : std::nullopt);
+                route->mode == configuration::Mode::own ? std::optional<Nanos>(now_ - seen) : std::nullopt);
 }
 
 // ---- what the module decides ----------------------------------------------------------------------
@@ -612,7 +621,8 @@
         store.waiting.push_back(s.client);
 }
 
-// The idle connection that needs least to be made right; where all need much, and there may be more, a new one.
+// The idle connection that needs least to be made right; where all need much, and there may be more, a new
+// one.
 Pooler::Line* Pooler::lineFor(Session& s, Store& store) {
     Line* best = nullptr;
     int least = 0;
@@ -652,26 +662,29 @@
     outputs_.push_back(OpenLine{no, store.address});
 }
 
-// Whether the statement may run there, behind which position, and whether only with proof of the lead at hand.
+// Whether the statement may run there, behind which position, and whether only with proof of the lead at
+// hand.
 bool Pooler::safe(Session& s, Store& store, std::string& after, bool& guarded) {
     const Op& op = *s.op;
     guarded = false;
     after.clear();
-    if (op.writes || op.commit || (s.tx && !s.tx->readOnly)) return true;  // the store itself refuses without the lead
-    const waybill::Route* route = s.tx ? &s.tx->route : waybill_.route(s.database);
+    if (op.writes || op.commit || (s.tx && !s.tx->readOnly))
+        return true;  // the store itself refuses without the lead
+    const configuration::Route* route = s.tx ? &s.tx->route : configuration_.route(s.database);
     if (!route) return false;
     const Service& of = *store.service;
     const bool leads = of.lead == store.id;
     if (leads && provable(of)) return true;
-    if (route->mode == waybill::Mode::headOffice) {
+    if (route->mode == configuration::Mode::headOffice) {
         guarded = true;
         return leads;
     }
     const Nanos came = s.tx ? s.tx->came : op.came;
     const Nanos since = came - millis(route->staleness_ms);
     std::optional<Mark> need = of.horizon.covering(since);
-    if (route->mode == waybill::Mode::own && s.own) {
-        // A position of an earlier term may have been cut back with others' commits; this term's own cover it.
+    if (route->mode == configuration::Mode::own && s.own) {
+        // A position of an earlier term may have been cut back with others' commits; this term's own cover
+        // it.
         if (s.own->term < of.term)
             need = of.horizon.covering(since, of.term);
         else if (need)
@@ -694,7 +707,8 @@
     outputs_.push_back(ToLine{line.no, std::move(bytes)});
 }
 
-// Makes the connection right for the session, begins its transaction there if need be, then sends the statement.
+// Makes the connection right for the session, begins its transaction there if need be, then sends the
+// statement.
 void Pooler::prelude(Session& s, Line& line) {
     Op& op = *s.op;
     line.store->idle.erase(line.no);
@@ -728,7 +742,8 @@
     }
     if (!op.prepared.empty() && line.prepared.insert(op.prepared).second) {
         const Prepared& shape = s.prepared.at(op.statement.name);
-        ask(line, "-", "PARSE " + op.prepared + (shape.writes ? " WRITE " : " READ ") + shape.shape, Part::prelude);
+        ask(line, "-", "PARSE " + op.prepared + (shape.writes ? " WRITE " : " READ ") + shape.shape,
+            Part::prelude);
     }
     if (s.tx && !pinned) {
         line.proven = line.store->id == line.store->service->lead && provable(*line.store->service);
@@ -753,9 +768,10 @@
     op.sent = true;
     if (s.tx && op.writes) s.tx->wrote = true;
     const Service& of = *line.store->service;
-    const bool near = line.store->district == satchel_.district;
+    const bool near = line.store->district == settings_.district;
     ++(of.lead == line.store->id ? near ? counts_.leadNear : counts_.leadFar
-                                 : near ? counts_.replicaNear : counts_.replicaFar);
+       : near                    ? counts_.replicaNear
+                                 : counts_.replicaFar);
     line.proven = of.lead == line.store->id && (provable(of) || op.guarded || (s.tx && !s.tx->readOnly));
     line.askedAt = now_;
     ask(line, op.statement.id, op.after + op.text, Part::main);
@@ -769,8 +785,8 @@
     begin(now);
     Line& line = *at->second;
     line.askedAt = now;
-    outputs_.push_back(
-        ToLine{no, "GREET " + line.store->service->name + " " + satchel_.station + " " + line.store->id + "\r\n"});
+    outputs_.push_back(ToLine{
+        no, "GREET " + line.store->service->name + " " + settings_.station + " " + line.store->id + "\r\n"});
 }
 
 void Pooler::lineSaid(int no, std::string_view text, Nanos now) {
@@ -802,8 +818,8 @@
                 const auto who = sessions_.find(client);
                 if (who == sessions_.end() || !who->second->op || who->second->op->store != &store) continue;
                 Op& op = *who->second->op;
-                report(op.key, op.launches - 1, store, full ? Ending::full : Ending::unreachable, op.launchedAt, {},
-                       false);
+                report(op.key, op.launches - 1, store, full ? Ending::full : Ending::unreachable,
+                       op.launchedAt, {}, false);
             }
         }
     } else if (word == "READY") {
@@ -865,7 +881,8 @@
                 release(line, "-");
             else
                 idle(line);
-            return report(op.key, op.launches - 1, store, error == Error::busy || error == Error::full ? Ending::full : Ending::missed,
+            return report(op.key, op.launches - 1, store,
+                          error == Error::busy || error == Error::full ? Ending::full : Ending::missed,
                           op.launchedAt, position, false);
         }
         if (s->tx) {
@@ -915,7 +932,9 @@
         endTx(s);
         line.user = nullptr;
         reply('I');
-        if (first) report(key, launchNo, store, done ? Ending::delivered : Ending::error, launchedAt, position, true);
+        if (first)
+            report(key, launchNo, store, done ? Ending::delivered : Ending::error, launchedAt, position,
+                   true);
         return line.inTx ? release(line, "-") : idle(line);
     }
     if (!done && first && entry.elsewhere) {
@@ -935,7 +954,8 @@
             release(line, "-");
         else
             idle(line);
-        return report(key, launchNo, store, error == Error::busy || error == Error::full ? Ending::full : Ending::missed,
+        return report(key, launchNo, store,
+                      error == Error::busy || error == Error::full ? Ending::full : Ending::missed,
                       launchedAt, position, false);
     }
     if (s.tx) {
@@ -945,7 +965,9 @@
         }
         const bool ended = state == 'I';
         reply(state);
-        if (first) report(key, launchNo, store, done ? Ending::delivered : Ending::error, launchedAt, position, true);
+        if (first)
+            report(key, launchNo, store, done ? Ending::delivered : Ending::error, launchedAt, position,
+                   true);
         if (ended) idle(line);
         return;
     }
@@ -974,7 +996,8 @@
     report(key, launchNo, store, Ending::error, launchedAt, position, false);
 }
 
-// A replica that was tried on trust and lacks what was needed: the module asks again when it may have caught up.
+// A replica that was tried on trust and lacks what was needed: the module asks again when it may have caught
+// up.
 void Pooler::lags(Store& store, std::optional<Mark> mark) {
     ++counts_.lagging;
     const std::optional<Nanos> position = mark ? store.service->horizon.holds(*mark) : std::nullopt;
@@ -1009,7 +1032,8 @@
         const int client = store.waiting.front();
         store.waiting.pop_front();
         const auto at = sessions_.find(client);
-        if (at == sessions_.end() || !at->second->op || at->second->op->store != &store || at->second->op->line)
+        if (at == sessions_.end() || !at->second->op || at->second->op->store != &store ||
+            at->second->op->line)
             continue;
         // Not from here: an answer may be in the middle of being taken apart.
         Line* line = lineFor(*at->second, store);
@@ -1098,11 +1122,11 @@
 
 void Pooler::tick(Nanos now) {
     begin(now);
-    if (courier_ && now - askedAt_ >= leaseAskEvery) {
+    if (agent_ && now - askedAt_ >= leaseAskEvery) {
         askedAt_ = now;
         leaseAsks_[++askNo_] = now;
         if (leaseAsks_.size() > 8) leaseAsks_.erase(leaseAsks_.begin());
-        outputs_.push_back(ToCourier{{{"k", "lease?"}, {"t", askNo_}}});
+        outputs_.push_back(ToAgent{{{"k", "lease?"}, {"t", askNo_}}});
     }
     if (now >= wakeAt_) front_.woke(0);
     settle();
@@ -1114,7 +1138,8 @@
     for (Line* line : all) {
         if (line->dead) continue;
         Store& store = *line->store;
-        if (!line->expects.empty() && now - std::max(line->askedAt, store.heard) > silent) suspect(store, "silent");
+        if (!line->expects.empty() && now - std::max(line->askedAt, store.heard) > silent)
+            suspect(store, "silent");
         if (!line->open && now - line->askedAt > millis(1500)) {
             outputs_.push_back(CloseLine{line->no});
             ended(*line, false);
@@ -1128,8 +1153,9 @@
         Session* s = line->user;
         if (!s) continue;
         if (!s->op && s->tx && s->tx->begun) {
-            const bool rests = waybill_.txIdle_ms > 0 && now - s->restsSince > millis(waybill_.txIdle_ms);
-            if (rests || (leaving_ && now - leftAt_ > millis(satchel_.grace_ms / 2))) {
+            const bool rests =
+                configuration_.txIdle_ms > 0 && now - s->restsSince > millis(configuration_.txIdle_ms);
+            if (rests || (leaving_ && now - leftAt_ > millis(settings_.grace_ms / 2))) {
                 release(*line, "-");
                 s->line = nullptr;
                 s->tx->begun = false;
@@ -1176,7 +1202,7 @@
     if (leaving_ && now - leftAt_ > leftAfter) {
         std::vector<int> rest;
         for (auto& [client, s] : sessions_) {
-            const bool old = now - leftAt_ > millis(satchel_.grace_ms - 500);
+            const bool old = now - leftAt_ > millis(settings_.grace_ms - 500);
             if ((s->state == 'I' && !s->op && s->queue.empty()) || (s->state == 'E' && !s->op) || old)
                 rest.push_back(client);
         }
@@ -1188,4 +1214,4 @@
     settle();
 }
 
-}  // namespace granitereel::counter
+}  // namespace granitereel::proxy
--- a/src/proxy/pooler.hpp
+++ b/src/proxy/pooler.hpp
@@ -1,7 +1,8 @@
-// The proxy's state machine: clients' sessions pooled onto connections to stores ("lines"). A transaction stays on
-// one line until it ends; single statements take any. Which store runs a statement is decided by Front, the module
-// that the program in service uses too; here stand the sessions, the lines, and what makes a read safe. Free of I/O,
-// clocks and chance: what comes in is handed over with the time, what is to be done comes out.
+// The proxy's state machine: clients' sessions pooled onto connections to stores ("lines"). A transaction
+// stays on one line until it ends; single statements take any. Which store runs a statement is decided by
+// Front, the module that the program in service uses too; here stand the sessions, the lines, and what makes
+// a read safe. Free of I/O, clocks and chance: what comes in is handed over with the time, what is to be done
+// comes out.
 #pragma once
 
 #include <deque>
@@ -14,13 +15,13 @@
 #include <vector>
 
 #include "board/gossip.hpp"
-#include "counter/horizon.hpp"
-#include "counter/wire.hpp"
+#include "configuration/configuration.hpp"
 #include "front.hpp"
-#include "satchel/satchel.hpp"
-#include "waybill/waybill.hpp"
+#include "proxy/horizon.hpp"
+#include "proxy/wire.hpp"
+#include "settings/settings.hpp"
 
-namespace granitereel::counter {
+namespace granitereel::proxy {
 
 using Json = nlohmann::json;
 
@@ -46,23 +47,25 @@
 struct CloseLine {
     int line = 0;
 };
-struct ToCourier {
+struct ToAgent {
     Json message;
 };
 struct ToLog {
     std::string text;
 };
-using Output = std::variant<ToClient, EndClient, HoldClient, OpenLine, ToLine, CloseLine, ToCourier, ToLog>;
+using Output = std::variant<ToClient, EndClient, HoldClient, OpenLine, ToLine, CloseLine, ToAgent, ToLog>;
 
 // What has happened since the start, for the log.
 struct Counts {
-    std::uint64_t sessions = 0, statements = 0, transactions = 0, answered = 0, promised = 0, indoubt = 0, opened = 0;
-    std::uint64_t own = 0, guarded = 0, lagging = 0, leadNear = 0, leadFar = 0, replicaNear = 0, replicaFar = 0;
+    std::uint64_t sessions = 0, statements = 0, transactions = 0, answered = 0, promised = 0, indoubt = 0,
+                  opened = 0;
+    std::uint64_t own = 0, guarded = 0, lagging = 0, leadNear = 0, leadFar = 0, replicaNear = 0,
+                  replicaFar = 0;
 };
 
 class Pooler : private Outlet {
 public:
-    Pooler(const satchel::Satchel& satchel, std::uint64_t seed, Nanos now);
+    Pooler(const settings::Settings& settings, std::uint64_t seed, Nanos now);
     ~Pooler() override;
 
     void clientCame(int client, Nanos now);
@@ -72,9 +75,9 @@
     void lineSaid(int line, std::string_view text, Nanos now);
     void lineEnded(int line, bool refused, Nanos now);
     // The link to the agent: it is there, it is lost, it says something.
-    void courierUp(Nanos now);
-    void courierDown();
-    void courierSaid(const Json& message, Nanos now);
+    void agentUp(Nanos now);
+    void agentDown();
+    void agentSaid(const Json& message, Nanos now);
     void tick(Nanos now);
     // The process is told to end: sessions at rest are closed, transactions are given `half` to end.
     void leave(Nanos now);
@@ -119,14 +122,14 @@
         bool open = false, probe = false, dead = false;
         std::map<std::string, std::string> values;
         std::set<std::string> prepared;
-        Session* user = nullptr;    // whose statement or transaction it serves
-        bool inTx = false;          // the store holds a transaction of ours open
+        Session* user = nullptr;  // whose statement or transaction it serves
+        bool inTx = false;        // the store holds a transaction of ours open
         std::deque<Part> expects;
         std::string rows, done;
         std::optional<Error> error;
         std::string errorText;
         Nanos askedAt = 0, usedAt = 0, heardAt = 0, abandonedAt = 0;
-        bool proven = false;        // the store had the lead for certain when it was asked
+        bool proven = false;  // the store had the lead for certain when it was asked
     };
     // A statement in hand.
     struct Op {
@@ -147,7 +150,7 @@
         bool readOnly = false, begun = false, wrote = false;
         std::string beginId;
         Nanos came = 0;
-        waybill::Route route;
+        configuration::Route route;
     };
     struct Session {
         int client = 0;
@@ -193,7 +196,7 @@
     void local(Session& s, const std::string& line, char state);
     void refuse(Session& s, Error error, std::string_view text, char state);
     void run(Session& s, Statement statement);
-    int laneOf(const waybill::Route& route, bool writes, bool transaction);
+    int laneOf(const configuration::Route& route, bool writes, bool transaction);
     void place(Session& s, const std::string& storeId);
     Line* lineFor(Session& s, Store& store);
     void openLine(Store& store, bool probe);
@@ -221,17 +224,17 @@
     void ask(Line& line, std::string_view id, std::string_view text, Part part);
     void answerLast(Session& s);
 
-    const satchel::Satchel satchel_;
+    const settings::Settings settings_;
     std::vector<Output> outputs_;
     Nanos now_, wakeAt_ = 0;
     board::Gossip gossip_;
     Front front_;
-    waybill::Waybill waybill_;
-    bool configured_ = false, leaving_ = false, courier_ = false;
+    configuration::Configuration configuration_;
+    bool configured_ = false, leaving_ = false, agent_ = false;
     Nanos leftAt_ = 0, leaseUntil_ = 0, askedAt_ = 0, sweptAt_ = 0;
     std::uint64_t askNo_ = 0, keyNo_ = 0;
     std::map<std::uint64_t, Nanos> leaseAsks_;
-    std::map<std::string, std::uint64_t> cautions_;
+    std::map<std::string, std::uint64_t> unsettledLeads_;
     std::map<std::string, std::unique_ptr<Service>> services_;
     std::map<int, Service*> byGroup_;
     std::unordered_map<std::string, std::unique_ptr<Store>> stores_;
@@ -249,4 +252,4 @@
     Counts counts_;
 };
 
-}  // namespace granitereel::counter
+}  // namespace granitereel::proxy
--- a/src/proxy/program.cpp
+++ b/src/proxy/program.cpp
@@ -1,21 +1,21 @@
-#include "counter/program.hpp"
+#include "proxy/program.hpp"
 
 #include <spdlog/spdlog.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <random>
 
-#include "counter/pooler.hpp"
-#include "parcel/http.hpp"
-#include "parcel/link.hpp"
-#include "parcel/steady.hpp"
+#include "proxy/pooler.hpp"
+#include "transport/http.hpp"
+#include "transport/link.hpp"
+#include "transport/steady.hpp"
 
-namespace granitereel::counter {
+namespace granitereel::proxy {
 
 namespace {
 namespace asio = boost::asio;
-using parcel::steadyNow;
-using parcel::Stream;
+using transport::steadyNow;
+using transport::Stream;
 
 // A client that takes none of its answers is let go once so much waits for it.
 constexpr std::size_t unsentMost = 4 * 1024 * 1024;
@@ -23,21 +23,23 @@
 
 class Program {
 public:
-    Program(const satchel::Satchel& satchel, const std::string& settingsPath)
-        : satchel_(satchel),
+    Program(const settings::Settings& settings, const std::string& settingsPath)
+        : settings_(settings),
           settingsPath_(settingsPath),
           loop_(1),
-          pooler_(satchel, std::random_device{}(), steadyNow()),
+          pooler_(settings, std::random_device{}(), steadyNow()),
           ticker_(loop_),
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
-          clientsMost_(static_cast<std::size_t>(std::max(16, satchel.fileHandles * 3 / 4 - 200))),
-          listener_(loop_, parcel::endpointOf(satchel.frontAddress), [this](auto stream) { client(std::move(stream)); }),
-          ready_(loop_, parcel::endpointOf(satchel.readyAddress), 4096,
-                 [this](std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
-                        const std::string&) {
-                     const bool place = path.size() == 1 && path[0] == "ready";
-                     ready_.answer(call, !place ? 404 : method != "GET" ? 405 : pooler_.ready() ? 200 : 503, "");
-                 }) {}
+          clientsMost_(static_cast<std::size_t>(std::max(16, settings.fileHandles * 3 / 4 - 200))),
+          listener_(loop_, transport::endpointOf(settings.frontAddress),
+                    [this](auto stream) { client(std::move(stream)); }),
+          ready_(
+              loop_, transport::endpointOf(settings.readyAddress), 4096,
+              [this](std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
+                     const std::string&) {
+                  const bool place = path.size() == 1 && path[0] == "ready";
+                  ready_.answer(call, !place ? 404 : method != "GET" ? 405 : pooler_.ready() ? 200 : 503, "");
+              }) {}
 
     int run() {
         listen();
@@ -53,13 +55,13 @@
             if (ec) return;
             if (signal == SIGHUP) {
                 try {
-                    satchel::read(settingsPath_);
-                } catch (const satchel::Unusable& fault) {
+                    settings::read(settingsPath_);
+                } catch (const settings::InvalidSettings& fault) {
                     spdlog::warn("settings kept as they were: {}", fault.what());
                 }
             } else {
                 spdlog::info("leaving: {} sessions", pooler_.sessions());
-                endAt_ = steadyNow() + millis(satchel_.grace_ms - 300);
+                endAt_ = steadyNow() + millis(settings_.grace_ms - 300);
                 leftAt_ = steadyNow();
                 pooler_.leave(steadyNow());
                 carryOut();
@@ -76,10 +78,12 @@
             countedAt_ = now;
             const Counts& c = pooler_.counts();
             spdlog::info(
-                "counts sessions={} open={} lines={} statements={} tx={} answered={} promised={} indoubt={} opened={} "
+                "counts sessions={} open={} lines={} statements={} tx={} answered={} promised={} indoubt={} "
+                "opened={} "
                 "own={} guarded={} lagging={} lead_near={} lead_far={} replica_near={} replica_far={}",
-                c.sessions, pooler_.sessions(), pooler_.lines(), c.statements, c.transactions, c.answered, c.promised,
-                c.indoubt, c.opened, c.own, c.guarded, c.lagging, c.leadNear, c.leadFar, c.replicaNear, c.replicaFar);
+                c.sessions, pooler_.sessions(), pooler_.lines(), c.statements, c.transactions, c.answered,
+                c.promised, c.indoubt, c.opened, c.own, c.guarded, c.lagging, c.leadNear, c.leadFar,
+                c.replicaNear, c.replicaFar);
         }
         // New connections come for as long as the platform has not seen that this front leaves.
         if (endAt_ && (now >= endAt_ || (now - leftAt_ > millis(2600) && pooler_.over()))) {
@@ -96,25 +100,25 @@
     void dial() {
         auto made = std::make_shared<std::shared_ptr<Stream>>();
         auto again = [this] {
-            courier_.reset();
-            pooler_.courierDown();
+            agent_.reset();
+            pooler_.agentDown();
             redial_.expires_after(std::chrono::milliseconds(100));
             redial_.async_wait([this](boost::system::error_code ec) {
                 if (!ec) dial();
             });
         };
-        const parcel::tcp::endpoint where{asio::ip::make_address_v4("127.0.0.1"),
-                                          static_cast<unsigned short>(satchel_.firstPort + 1)};
+        const transport::tcp::endpoint where{asio::ip::make_address_v4("127.0.0.1"),
+                                             static_cast<unsigned short>(settings_.firstPort + 1)};
         *made = Stream::to(loop_, where, 1000, [this, made, again] {
-            courier_ = std::make_shared<parcel::Link>(*made);
+            agent_ = std::make_shared<transport::Link>(*made);
             made->reset();
-            courier_->start(
+            agent_->start(
                 [this](const nlohmann::json& message) {
-                    pooler_.courierSaid(message, steadyNow());
+                    pooler_.agentSaid(message, steadyNow());
                     carryOut();
                 },
                 again);
-            pooler_.courierUp(steadyNow());
+            pooler_.agentUp(steadyNow());
             carryOut();
         });
         (*made)->start([](std::string_view) { return std::size_t(0); }, [again](bool) { again(); });
@@ -179,7 +183,7 @@
     }
     void carry(OpenLine& out) {
         const int no = out.line;
-        auto stream = Stream::to(loop_, parcel::endpointOf(out.address), 2000, [this, no] {
+        auto stream = Stream::to(loop_, transport::endpointOf(out.address), 2000, [this, no] {
             pooler_.lineOpened(no, steadyNow());
             carryOut();
         });
@@ -209,31 +213,31 @@
         at->second->close();
         lines_.erase(at);
     }
-    void carry(ToCourier& out) {
-        if (courier_) courier_->send(out.message);
+    void carry(ToAgent& out) {
+        if (agent_) agent_->send(out.message);
     }
     void carry(ToLog& out) { spdlog::info("{}", out.text); }
 
-    const satchel::Satchel satchel_;
+    const settings::Settings settings_;
     const std::string settingsPath_;
     asio::io_context loop_;
     Pooler pooler_;
     asio::steady_timer ticker_, redial_{loop_};
     asio::signal_set signals_;
-    std::shared_ptr<parcel::Link> courier_;
+    std::shared_ptr<transport::Link> agent_;
     std::unordered_map<int, std::shared_ptr<Stream>> clients_, lines_;
     std::size_t clientsMost_;
     int lastClient_ = 0;
     Nanos endAt_ = 0, leftAt_ = 0, countedAt_ = steadyNow();
-    parcel::Listener listener_;
-    parcel::HttpServer ready_;
+    transport::Listener listener_;
+    transport::HttpServer ready_;
 };
 }  // namespace
 
-int serve(const satchel::Satchel& satchel, const std::string& settingsPath) {
-    if (satchel.frontAddress.empty() || satchel.readyAddress.empty())
-        throw satchel::Unusable("the proxy needs 'listen_on.front_addr' and 'listen_on.ready_addr'");
-    return Program(satchel, settingsPath).run();
+int serve(const settings::Settings& settings, const std::string& settingsPath) {
+    if (settings.frontAddress.empty() || settings.readyAddress.empty())
+        throw settings::InvalidSettings("the proxy needs 'listen_on.front_addr' and 'listen_on.ready_addr'");
+    return Program(settings, settingsPath).run();
 }
 
-}  // namespace granitereel::counter
+}  // namespace granitereel::proxy
--- a/src/proxy/program.hpp
+++ b/src/proxy/program.hpp
@@ -1,11 +1,11 @@
 // The proxy as a process.
 #pragma once
 
-#include "satchel/satchel.hpp"
+#include "settings/settings.hpp"
 
-namespace granitereel::counter {
+namespace granitereel::proxy {
 
 // Serves until SIGTERM. Returns the exit code; throws std::exception where it can't begin.
-int serve(const satchel::Satchel& satchel, const std::string& settingsPath);
+int serve(const settings::Settings& settings, const std::string& settingsPath);
 
-}  // namespace granitereel::counter
+}  // namespace granitereel::proxy
--- a/src/proxy/wire.cpp
+++ b/src/proxy/wire.cpp
@@ -1,8 +1,8 @@
-#include "counter/wire.hpp"
+#include "proxy/wire.hpp"
 
 #include <array>
 
-namespace granitereel::counter {
+namespace granitereel::proxy {
 
 namespace {
 constexpr std::array<ErrorEntry, 13> table{{
@@ -84,4 +84,4 @@
     return s;
 }
 
-}  // namespace granitereel::counter
+}  // namespace granitereel::proxy
--- a/src/proxy/wire.hpp
+++ b/src/proxy/wire.hpp
@@ -1,4 +1,5 @@
-// The lines of the wire that clients and stores share: a word, then fields between blanks; the last runs to the end.
+// The lines of the wire that clients and stores share: a word, then fields between blanks; the last runs to
+// the end.
 #pragma once
 
 #include <cstdint>
@@ -6,24 +7,31 @@
 #include <string>
 #include <string_view>
 
-namespace granitereel::counter {
+namespace granitereel::proxy {
 
 constexpr std::size_t longestMessage = 1024 * 1024;
 
-// How a statement ended other than by success, as both clients and stores are told. One closed list; errors.cpp has
-// what follows from each.
+// How a statement ended other than by success, as both clients and stores are told. One closed list;
+// errors.cpp has what follows from each.
 enum class Error {
-    busy, aborted, lagging, readonly, missent, full,  // promises: nothing of this try is kept
-    unknown,                                          // not run: no such prepared name
-    failed, expired,                                  // run
-    indoubt,                                          // nothing is known
-    malformed, nosuchdb,
+    busy,
+    aborted,
+    lagging,
+    readonly,
+    missent,
+    full,     // promises: nothing of this try is kept
+    unknown,  // not run: no such prepared name
+    failed,
+    expired,  // run
+    indoubt,  // nothing is known
+    malformed,
+    nosuchdb,
     other,
 };
 struct ErrorEntry {
     Error error;
     const char* word;
-    bool notRun;   // a store that says so has not run the statement
+    bool notRun;     // a store that says so has not run the statement
     bool elsewhere;  // another store may do better
 };
 const ErrorEntry& entryOf(Error error);
@@ -38,11 +46,12 @@
 struct Statement {
     enum class Kind { begin, beginRead, commit, abort, read, write, set, parse, execute, close, malformed };
     Kind kind = Kind::malformed;
-    std::string id, text;             // as they came
-    std::string name, value, thing;   // SET name value; PARSE name shape(value); EXECUTE name, and what follows (thing)
-    bool writes = false;              // PARSE: what the shape does
+    std::string id, text;  // as they came
+    std::string name, value,
+        thing;            // SET name value; PARSE name shape(value); EXECUTE name, and what follows (thing)
+    bool writes = false;  // PARSE: what the shape does
 };
 // The text of a QUERY.
 Statement readStatement(std::string_view id, std::string_view text);
 
-}  // namespace granitereel::counter
+}  // namespace granitereel::proxy
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,4 +1,4 @@
-#include "satchel/satchel.hpp"
+#include "settings/settings.hpp"
 
 #include <toml++/toml.h>
 
@@ -6,13 +6,13 @@
 #include <cstdlib>
 #include <sstream>
 
-namespace granitereel::satchel {
+namespace granitereel::settings {
 
 namespace {
 template <class T>
 T need(const toml::table& table, const char* path) {
     const auto value = table.at_path(path).value<T>();
-    if (!value) throw Unusable(std::string("field '") + path + "' is missing or of another type");
+    if (!value) throw InvalidSettings(std::string("field '") + path + "' is missing or of another type");
     return *value;
 }
 }  // namespace
@@ -22,32 +22,34 @@
     return told && *told ? told : "/etc/granitereel/local.toml";
 }
 
-Satchel read(const std::string& path) {
+Settings read(const std::string& path) {
     toml::table table;
     try {
         table = toml::parse_file(path);
     } catch (const toml::parse_error& fault) {
         std::ostringstream text;
-        text << path << ", line " << fault.source().begin.line << ", column " << fault.source().begin.column << ": "
-             << fault.description();
-        throw Unusable(text.str());
+        text << path << ", line " << fault.source().begin.line << ", column " << fault.source().begin.column
+             << ": " << fault.description();
+        throw InvalidSettings(text.str());
     }
-    Satchel s;
+    Settings s;
     s.station = need<std::string>(table, "station");
     s.ip = need<std::string>(table, "ip_addr");
     s.district = need<std::string>(table, "district");
     const toml::array* ports = table["spare_ports"].as_array();
-    if (!ports || ports->size() != 2) throw Unusable("field 'spare_ports' must be a first and a last port");
+    if (!ports || ports->size() != 2)
+        throw InvalidSettings("field 'spare_ports' must be a first and a last port");
     s.firstPort = ports->get(0)->value_or(0);
     s.lastPort = ports->get(1)->value_or(0);
     if (s.firstPort <= 0 || s.lastPort < s.firstPort || s.lastPort > 65535)
-        throw Unusable("field 'spare_ports' must hold two ports in order");
+        throw InvalidSettings("field 'spare_ports' must hold two ports in order");
     const toml::array* seeds = table["seed_list"].as_array();
-    if (!seeds) throw Unusable("field 'seed_list' is missing or no list");
+    if (!seeds) throw InvalidSettings("field 'seed_list' is missing or no list");
     for (const auto& seed : *seeds) s.seeds.push_back(seed.value_or(std::string()));
     s.firstBoot = table["first_boot"].value_or(false);
     if (const toml::table* districts = table["districts"].as_table())
-        for (const auto& [name, in] : *districts) s.territoryOf[std::string(name.str())] = in.value_or(std::string());
+        for (const auto& [name, in] : *districts)
+            s.territoryOf[std::string(name.str())] = in.value_or(std::string());
     s.frontAddress = table.at_path("listen_on.front_addr").value_or(std::string());
     s.readyAddress = table.at_path("listen_on.ready_addr").value_or(std::string());
     s.controlAddress = table.at_path("listen_on.control_addr").value_or(std::string());
@@ -68,4 +70,4 @@
     return s;
 }
 
-}  // namespace granitereel::satchel
+}  // namespace granitereel::settings
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -1,11 +1,11 @@
-#include "parcel/http.hpp"
+#include "transport/http.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 
-namespace granitereel::parcel {
+namespace granitereel::transport {
 
 namespace {
 namespace beast = boost::beast;
@@ -76,7 +76,8 @@
     bool last = false;
 };
 
-HttpServer::HttpServer(asio::io_context& loop, const tcp::endpoint& where, std::size_t bodyLimit, OnCall onCall)
+HttpServer::HttpServer(asio::io_context& loop, const tcp::endpoint& where, std::size_t bodyLimit,
+                       OnCall onCall)
     : acceptor_(loop), pause_(loop), bodyLimit_(bodyLimit), onCall_(std::move(onCall)) {
     acceptor_.open(where.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
@@ -136,9 +137,9 @@
 };
 }  // namespace
 
-void httpCall(asio::io_context& loop, const tcp::endpoint& where, const std::string& method, const std::string& path,
-              const std::vector<std::pair<std::string, std::string>>& headers, const std::string& body, int within_ms,
-              std::function<void(int)> done) {
+void httpCall(asio::io_context& loop, const tcp::endpoint& where, const std::string& method,
+              const std::string& path, const std::vector<std::pair<std::string, std::string>>& headers,
+              const std::string& body, int within_ms, std::function<void(int)> done) {
     auto call = std::make_shared<Call>(loop);
     call->done = std::move(done);
     call->request.method_string(method);
@@ -155,11 +156,12 @@
         if (ec) return call->end(0);
         http::async_write(call->stream, call->request, [call](error_code failed, std::size_t) {
             if (failed) return call->end(0);
-            http::async_read(call->stream, call->buffer, call->response, [call](error_code broken, std::size_t) {
-                call->end(broken ? 0 : static_cast<int>(call->response.result_int()));
-            });
+            http::async_read(call->stream, call->buffer, call->response,
+                             [call](error_code broken, std::size_t) {
+                                 call->end(broken ? 0 : static_cast<int>(call->response.result_int()));
+                             });
         });
     });
 }
 
-}  // namespace granitereel::parcel
+}  // namespace granitereel::transport
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -9,9 +9,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "parcel/stream.hpp"
+#include "transport/stream.hpp"
 
-namespace granitereel::parcel {
+namespace granitereel::transport {
 
 // Answers calls at an address; each call gets its answer by its number, in the caller's time.
 class HttpServer {
@@ -38,8 +38,8 @@
 };
 
 // One call; `done` gets the status, or 0 where no whole answer came in time.
-void httpCall(asio::io_context& loop, const tcp::endpoint& where, const std::string& method, const std::string& path,
-              const std::vector<std::pair<std::string, std::string>>& headers, const std::string& body, int within_ms,
-              std::function<void(int status)> done);
+void httpCall(asio::io_context& loop, const tcp::endpoint& where, const std::string& method,
+              const std::string& path, const std::vector<std::pair<std::string, std::string>>& headers,
+              const std::string& body, int within_ms, std::function<void(int status)> done);
 
-}  // namespace granitereel::parcel
+}  // namespace granitereel::transport
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -1,6 +1,6 @@
-#include "parcel/link.hpp"
+#include "transport/link.hpp"
 
-namespace granitereel::parcel {
+namespace granitereel::transport {
 
 namespace {
 // Above the largest configuration that an operator may send, and all records of a large site in one snapshot.
@@ -26,7 +26,8 @@
         [onMessage = std::move(onMessage), end, weak](std::string_view all) -> std::size_t {
             std::size_t used = 0;
             for (std::size_t cut; (cut = all.find('\n', used)) != all.npos; used = cut + 1) {
-                const auto message = nlohmann::json::parse(all.begin() + used, all.begin() + cut, nullptr, false);
+                const auto message =
+                    nlohmann::json::parse(all.begin() + used, all.begin() + cut, nullptr, false);
                 const auto stream = weak.lock();
                 if (!stream || !stream->open()) return all.size();
                 bool sound = message.is_object();
@@ -51,4 +52,4 @@
         [end](bool) { end(); });
 }
 
-}  // namespace granitereel::parcel
+}  // namespace granitereel::transport
--- a/src/transport/link.hpp
+++ b/src/transport/link.hpp
@@ -1,12 +1,12 @@
-// What the system's processes say to each other: JSON objects, a line each, over a stream. A line that is no JSON
-// object ends the link: it is believed whole or not at all.
+// What the system's processes say to each other: JSON objects, a line each, over a stream. A line that is no
+// JSON object ends the link: it is believed whole or not at all.
 #pragma once
 
 #include <nlohmann/json.hpp>
 
-#include "parcel/stream.hpp"
+#include "transport/stream.hpp"
 
-namespace granitereel::parcel {
+namespace granitereel::transport {
 
 class Link {
 public:
@@ -33,4 +33,4 @@
 
 std::string lineOf(const nlohmann::json& message);
 
-}  // namespace granitereel::parcel
+}  // namespace granitereel::transport
--- a/src/transport/store_call.cpp
+++ b/src/transport/store_call.cpp
@@ -1,6 +1,6 @@
-#include "parcel/storecall.hpp"
+#include "transport/store_call.hpp"
 
-namespace granitereel::parcel {
+namespace granitereel::transport {
 
 namespace {
 struct Call : std::enable_shared_from_this<Call> {
@@ -66,4 +66,4 @@
         });
 }
 
-}  // namespace granitereel::parcel
+}  // namespace granitereel::transport
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -1,4 +1,4 @@
-#include "parcel/stream.hpp"
+#include "transport/stream.hpp"
 
 #include <netinet/tcp.h>
 
@@ -7,7 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <stdexcept>
 
-namespace granitereel::parcel {
+namespace granitereel::transport {
 
 namespace {
 using boost::system::error_code;
@@ -24,7 +24,8 @@
             port = std::stoi(address.substr(colon + 1));
         } catch (const std::exception&) {
         }
-    if (ec || port <= 0 || port > 65535) throw std::invalid_argument("not an address with a port: " + address);
+    if (ec || port <= 0 || port > 65535)
+        throw std::invalid_argument("not an address with a port: " + address);
     return {ip, static_cast<unsigned short>(port)};
 }
 
@@ -197,4 +198,4 @@
     });
 }
 
-}  // namespace granitereel::parcel
+}  // namespace granitereel::transport
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-namespace granitereel::parcel {
+namespace granitereel::transport {
 
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
@@ -20,16 +20,17 @@
 
 class Stream : public std::enable_shared_from_this<Stream> {
 public:
-    // Takes all bytes that are there and says how many it has used; the rest is shown again with what follows.
+    // Takes all bytes that are there and says how many it has used; the rest is shown again with what
+    // follows.
     using OnBytes = std::function<std::size_t(std::string_view)>;
-    // The connection is gone, once, and never after close(). `refused`: it never came about, and the other side
-    // said so at once.
+    // The connection is gone, once, and never after close(). `refused`: it never came about, and the other
+    // side said so at once.
     using OnEnd = std::function<void(bool refused)>;
 
     // A connection that was accepted.
     static std::shared_ptr<Stream> over(tcp::socket socket);
-    // One to be made. `within_ms`: silence after which it counts as gone, while connecting and, by the system's own
-    // clock, while sent bytes stay unacknowledged.
+    // One to be made. `within_ms`: silence after which it counts as gone, while connecting and, by the
+    // system's own clock, while sent bytes stay unacknowledged.
     static std::shared_ptr<Stream> to(asio::io_context& loop, const tcp::endpoint& where, int within_ms,
                                       std::function<void()> onOpen);
     ~Stream();
@@ -41,8 +42,8 @@
     std::size_t unsent() const { return out_.size() - written_; }
     // Stops and resumes reading, so that who sends is held up.
     void hold(bool on);
-    // Writes what was sent, ends the sending half and reads to the other side's end for a second at most, as a close
-    // over unread bytes would reset the connection and lose them.
+    // Writes what was sent, ends the sending half and reads to the other side's end for a second at most, as
+    // a close over unread bytes would reset the connection and lose them.
     void finish();
     // Ends it at once; what is unsent is dropped.
     void close();
@@ -61,11 +62,12 @@
     OnEnd onEnd_;
     std::string in_, out_;
     std::size_t written_ = 0;
-    bool open_ = false, reading_ = false, held_ = false, flushing_ = false, waiting_ = false, finishing_ = false,
-         closed_ = false;
+    bool open_ = false, reading_ = false, held_ = false, flushing_ = false, waiting_ = false,
+         finishing_ = false, closed_ = false;
 };
 
-// Takes connections at an address until it is destroyed. Throws boost::system::system_error where it can't listen.
+// Takes connections at an address until it is destroyed. Throws boost::system::system_error where it can't
+// listen.
 class Listener {
 public:
     using OnStream = std::function<void(std::shared_ptr<Stream>)>;
@@ -79,4 +81,4 @@
     OnStream onStream_;
 };
 
-}  // namespace granitereel::parcel
+}  // namespace granitereel::transport
--- a/standins/databases.cpp
+++ b/standins/databases.cpp
@@ -6,7 +6,8 @@
 
 namespace granitereel::standins {
 
-Databases::Databases(std::string service, int stores, int sync) : service_(std::move(service)), lead_("s0"), sync_(sync) {
+Databases::Databases(std::string service, int stores, int sync)
+    : service_(std::move(service)), lead_("s0"), sync_(sync) {
     for (int i = 0; i < stores; ++i) stores_["s" + std::to_string(i)];
 }
 
@@ -67,7 +68,8 @@
         store.log.push_back({{term_, next_++}, std::exchange(c.writes, {})});
         replicate();
         int received = 0;
-        for (const auto& [name, each] : stores_) received += name != c.store && each.log.size() >= store.log.size();
+        for (const auto& [name, each] : stores_)
+            received += name != c.store && each.log.size() >= store.log.size();
         if (received < sync_) return std::nullopt;  // waits for a replica
     }
     return "DONE stamp" + std::to_string(++stamp_) + "\r\n";
@@ -85,7 +87,8 @@
     if (word == "GREET") {
         std::string service, who, expected;
         in >> service >> who >> expected;
-        if (service != service_ || (!expected.empty() && expected != c.store)) return "ERROR MISSENT " + c.store + "\r\n";
+        if (service != service_ || (!expected.empty() && expected != c.store))
+            return "ERROR MISSENT " + c.store + "\r\n";
         c.greeted = true;
         return ready(c);
     }
@@ -137,7 +140,8 @@
         return done();
     }
     if (word == "BEGIN") {
-        if (after && (store.applied == 0 ? Mark{1, 0} : store.log[store.applied - 1].at) < *after) return failed(c, "LAGGING");
+        if (after && (store.applied == 0 ? Mark{1, 0} : store.log[store.applied - 1].at) < *after)
+            return failed(c, "LAGGING");
         if (rest.empty() && !leads) return failed(c, "READONLY");
         c.tx = true;
         c.plain = rest.empty();
@@ -175,7 +179,8 @@
     } else if (word != "READ" && word != "WRITE") {
         return failed(c, "MALFORMED");
     }
-    if (after && (store.applied == 0 ? Mark{1, 0} : store.log[store.applied - 1].at) < *after) return failed(c, "LAGGING");
+    if (after && (store.applied == 0 ? Mark{1, 0} : store.log[store.applied - 1].at) < *after)
+        return failed(c, "LAGGING");
     if (writes) {
         if (!leads || (c.tx && !c.plain)) return failed(c, "READONLY");
         c.writes.push_back(id);
--- a/standins/databases.hpp
+++ b/standins/databases.hpp
@@ -1,6 +1,7 @@
-// A service's stores as the pages tell of them: a log with terms and positions, replicas that receive and apply, a
-// platform that promotes, and connections that hold values, prepared names and a transaction. Free of I/O: a line in,
-// lines out. It keeps what an auditor needs: which writes took effect how often, and which reads missed what.
+// A service's stores as the pages tell of them: a log with terms and positions, replicas that receive and
+// apply, a platform that promotes, and connections that hold values, prepared names and a transaction. Free
+// of I/O: a line in, lines out. It keeps what an auditor needs: which writes took effect how often, and which
+// reads missed what.
 #pragma once
 
 #include <cstdint>
@@ -16,11 +17,12 @@
 
 class Databases {
 public:
-    // Stores "s0", "s1", ...; s0 leads term 1. `sync`: replicas that must have a commit before it is answered.
+    // Stores "s0", "s1", ...; s0 leads term 1. `sync`: replicas that must have a commit before it is
+    // answered.
     Databases(std::string service, int stores, int sync);
 
-    // A connection to a store; lines said over it get their answers. None: the store says nothing (dark, or its
-    // answer is lost).
+    // A connection to a store; lines said over it get their answers. None: the store says nothing (dark, or
+    // its answer is lost).
     int connect(const std::string& store);
     std::optional<std::string> said(int connection, const std::string& line);
     void closed(int connection);
@@ -37,13 +39,15 @@
     const std::string& lead() const { return lead_; }
     std::uint64_t term() const { return term_; }
     const std::string& service() const { return service_; }
-    std::string roleOf(const std::string& store) const { return store == lead_ ? "head_office" : "branch_office"; }
+    std::string roleOf(const std::string& store) const {
+        return store == lead_ ? "head_office" : "branch_office";
+    }
     std::vector<std::string> names() const;
 
     // What the auditor sees.
-    int effects(const std::string& write) const;        // of a write, by its text, in the lead's log
+    int effects(const std::string& write) const;                 // of a write, by its text, in the lead's log
     std::vector<std::string> faults() const { return faults_; }  // broken rules, in words
-    std::set<std::string> ranOn(const std::string& id) const;    // connections that ran a statement, by its id
+    std::set<std::string> ranOn(const std::string& id) const;  // connections that ran a statement, by its id
 
 private:
     struct Entry {
--- a/standins/poolerrig.cpp
+++ b/standins/poolerrig.cpp
@@ -2,18 +2,18 @@
 
 namespace granitereel::standins {
 
-using counter::CloseLine;
-using counter::EndClient;
-using counter::OpenLine;
-using counter::ToClient;
-using counter::ToCourier;
-using counter::ToLine;
 using nlohmann::json;
+using proxy::CloseLine;
+using proxy::EndClient;
+using proxy::OpenLine;
+using proxy::ToAgent;
+using proxy::ToClient;
+using proxy::ToLine;
 
 namespace {
-satchel::Satchel settings() {
-    satchel::Satchel s;
-    s.station = "counter-1";
+settings::Settings settings() {
+    settings::Settings s;
+    s.station = "proxy-1";
     s.district = "here";
     s.drain_ms = 7000;
     s.grace_ms = 6000;
@@ -22,8 +22,8 @@
 }  // namespace
 
 PoolerRig::PoolerRig(int stores, int sync) : databases("svc", stores, sync) {
-    pooler = std::make_unique<counter::Pooler>(settings(), 7, now);
-    pooler->courierUp(now);
+    pooler = std::make_unique<proxy::Pooler>(settings(), 7, now);
+    pooler->agentUp(now);
     config(1);
     for (const std::string& store : databases.names()) standing(store, "accepting");
     lead(databases.lead());
@@ -34,36 +34,52 @@
 void PoolerRig::config(std::uint64_t edition, bool bounded) {
     json routes = json::array();
     auto route = [&](const char* name, const char* mode, int staleness) {
-        routes.push_back({{"label", name}, {"hostname", name}, {"path_prefix", "/"}, {"mode", mode}, {"depot", "svc"},
-                          {"deadline_ms", 1000}, {"target_ms", 200}, {"precedence", 1}, {"tries", 2},
+        routes.push_back({{"label", name},
+                          {"hostname", name},
+                          {"path_prefix", "/"},
+                          {"mode", mode},
+                          {"depot", "svc"},
+                          {"deadline_ms", 1000},
+                          {"target_ms", 200},
+                          {"precedence", 1},
+                          {"tries", 2},
                           {"staleness_ms", staleness}});
     };
     route("primary", "head_office", 0);
     if (bounded) route("bounded", "age_bounded", 1500);
     route("mine", "own", 2500);
-    pooler->courierSaid(
-        {{"k", "news"},
-         {"r", {{{"n", "config"}, {"v", {edition, 0}},
-                 {"b", {{"edition", edition}, {"itineraries", routes},
-                        {"depots", {{{"label", "svc"}, {"berth_cap", 40}, {"sync_replicas", 1}}}},
-                        {"limits", {{"tx_idle_ms", 3000}}}}}}}}},
-        now);
+    pooler->agentSaid({{"k", "news"},
+                       {"r",
+                        {{{"n", "config"},
+                          {"v", {edition, 0}},
+                          {"b",
+                           {{"edition", edition},
+                            {"itineraries", routes},
+                            {"depots", {{{"label", "svc"}, {"berth_cap", 40}, {"sync_replicas", 1}}}},
+                            {"limits", {{"tx_idle_ms", 3000}}}}}}}}},
+                      now);
     carry();
 }
 
 void PoolerRig::standing(const std::string& store, const std::string& standing, const std::string& role) {
-    json body{{"service", "svc"}, {"address", store}, {"district", "here"}, {"standing", standing},
+    json body{{"service", "svc"},
+              {"address", store},
+              {"district", "here"},
+              {"standing", standing},
               {"role", role.empty() ? databases.roleOf(store) : role}};
     if (standing.empty()) body = nullptr;
-    pooler->courierSaid({{"k", "news"}, {"r", {{{"n", "store/" + store}, {"v", {++version_, 0}}, {"b", body}}}}}, now);
+    pooler->agentSaid(
+        {{"k", "news"}, {"r", {{{"n", "store/" + store}, {"v", {++version_, 0}}, {"b", body}}}}}, now);
     carry();
 }
 
 void PoolerRig::lead(const std::string& store, bool steady) {
-    pooler->courierSaid(
+    pooler->agentSaid(
         {{"k", "news"},
-         {"r", {{{"n", "lead/svc"}, {"v", {++seq_, 0}},
-                 {"b", {{"store", store}, {"term", databases.term()}, {"seq", seq_}, {"steady", steady}}}}}}},
+         {"r",
+          {{{"n", "lead/svc"},
+            {"v", {++seq_, 0}},
+            {"b", {{"store", store}, {"term", databases.term()}, {"seq", seq_}, {"steady", steady}}}}}}},
         now);
     carry();
 }
@@ -88,7 +104,8 @@
 std::vector<std::string> PoolerRig::told(int client) {
     std::vector<std::string> lines;
     std::string all = std::exchange(said_[client], {});
-    for (std::size_t cut; (cut = all.find("\r\n")) != all.npos; all.erase(0, cut + 2)) lines.push_back(all.substr(0, cut));
+    for (std::size_t cut; (cut = all.find("\r\n")) != all.npos; all.erase(0, cut + 2))
+        lines.push_back(all.substr(0, cut));
     return lines;
 }
 
@@ -115,11 +132,12 @@
                 if (at->second.connection) databases.closed(at->second.connection);
                 lines_.erase(at);
             }
-            if (auto* out = std::get_if<ToCourier>(&output)) {
+            if (auto* out = std::get_if<ToAgent>(&output)) {
                 toCourier.push_back(out->message);
                 if (leases && out->message.value("k", "") == "lease?")
-                    pooler->courierSaid({{"k", "lease"}, {"t", out->message["t"]}, {"left", 700'000}, {"c", json::object()}},
-                                        now);
+                    pooler->agentSaid(
+                        {{"k", "lease"}, {"t", out->message["t"]}, {"left", 700'000}, {"c", json::object()}},
+                        now);
             }
         }
 }
--- a/standins/poolerrig.hpp
+++ b/standins/poolerrig.hpp
@@ -1,13 +1,13 @@
-// The proxy's state machine against stand-in databases, in virtual time: what it sends waits until the test lets it
-// arrive, so that every order can be caused.
+// The proxy's state machine against stand-in databases, in virtual time: what it sends waits until the test
+// lets it arrive, so that every order can be caused.
 #pragma once
 
 #include <deque>
 #include <map>
 #include <memory>
 
-#include "counter/pooler.hpp"
 #include "databases.hpp"
+#include "proxy/pooler.hpp"
 
 namespace granitereel::standins {
 
@@ -16,7 +16,7 @@
     explicit PoolerRig(int stores = 3, int sync = 1);
 
     Databases databases{"svc", 3, 1};
-    std::unique_ptr<counter::Pooler> pooler;
+    std::unique_ptr<proxy::Pooler> pooler;
     Nanos now = millis(5'000'000);
 
     // Sessions on "primary" (head_office), "bounded" (age_bounded, 1,500 ms) and "mine" (own).
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -13,19 +13,22 @@
 namespace granitereel::standins {
 
 namespace fs = std::filesystem;
-using parcel::endpointOf;
-using parcel::Stream;
+using transport::endpointOf;
+using transport::Stream;
 
 Site::Site(int members, int port) : members_(members), port_(port) {
-    folder_ = (fs::temp_directory_path() / ("site-" + std::to_string(port) + "-" + std::to_string(::getpid()))).string();
+    folder_ =
+        (fs::temp_directory_path() / ("site-" + std::to_string(port) + "-" + std::to_string(::getpid())))
+            .string();
     fs::create_directories(folder_);
     for (const std::string& store : databases.names())
-        listeners_.push_back(std::make_unique<parcel::Listener>(
+        listeners_.push_back(std::make_unique<transport::Listener>(
             loop, endpointOf("127.0.0.1:" + std::to_string(port_ + 10 + (store[1] - '0'))),
             [this, store](std::shared_ptr<Stream> stream) { serve(store, std::move(stream)); }));
-    platform_ = std::make_unique<parcel::HttpServer>(
+    platform_ = std::make_unique<transport::HttpServer>(
         loop, endpointOf("127.0.0.1:" + std::to_string(port_ + 9)), 4096,
-        [this](std::uint64_t call, const std::string&, const std::vector<std::string>&, const std::string& body) {
+        [this](std::uint64_t call, const std::string&, const std::vector<std::string>&,
+               const std::string& body) {
             const std::string store = nlohmann::json::parse(body).at("store_id");
             const bool promoted = databases.promote(store);
             if (promoted) ++promotions;
@@ -66,16 +69,17 @@
 void Site::beat() {
     for (const std::string& store : databases.names())
         for (int member = 0; member < members_; ++member)
-            parcel::httpCall(loop, endpointOf(ip(member) + ":" + std::to_string(port_)), "PUT", "/stores/" + store, {},
-                             nlohmann::json{{"depot", "svc"},
-                                            {"address", "127.0.0.1:" + std::to_string(port_ + 10 + (store[1] - '0'))},
-                                            {"district", "here"},
-                                            {"berths", 10},
-                                            {"standing", "accepting"},
-                                            {"db_role", databases.roleOf(store)},
-                                            {"call_seq", ++seq_}}
-                                 .dump(),
-                             500, [](int) {});
+            transport::httpCall(
+                loop, endpointOf(ip(member) + ":" + std::to_string(port_)), "PUT", "/stores/" + store, {},
+                nlohmann::json{{"depot", "svc"},
+                               {"address", "127.0.0.1:" + std::to_string(port_ + 10 + (store[1] - '0'))},
+                               {"district", "here"},
+                               {"berths", 10},
+                               {"standing", "accepting"},
+                               {"db_role", databases.roleOf(store)},
+                               {"call_seq", ++seq_}}
+                    .dump(),
+                500, [](int) {});
     timer_.expires_after(std::chrono::milliseconds(200));
     timer_.async_wait([this](boost::system::error_code ec) {
         if (!ec) beat();
@@ -83,15 +87,17 @@
 }
 
 std::string Site::settings(const std::string& name) {
-    const bool control = name.starts_with("sorting");
+    const bool control = name.starts_with("control");
     const int machine = control ? std::stoi(name.substr(8)) : members_;
     const std::string path = folder_ + "/" + name + ".toml", data = folder_ + "/" + name;
     const bool first = !fs::exists(path);
     std::ofstream out(path);
     const std::string p = std::to_string(port_);
-    out << "station = \"" << name << "\"\nip_addr = \"" << ip(machine) << "\"\ndistrict = \"here\"\nfirst_boot = "
-        << (first ? "true" : "false") << "\nspare_ports = [" << port_ + 1 << ", " << port_ + 8 << "]\nseed_list = [";
-    for (int i = 0; i < std::min(3, members_); ++i) out << (i ? ", " : "") << "\"" << ip(i) << ":" << p << "\"";
+    out << "station = \"" << name << "\"\nip_addr = \"" << ip(machine)
+        << "\"\ndistrict = \"here\"\nfirst_boot = " << (first ? "true" : "false") << "\nspare_ports = ["
+        << port_ + 1 << ", " << port_ + 8 << "]\nseed_list = [";
+    for (int i = 0; i < std::min(3, members_); ++i)
+        out << (i ? ", " : "") << "\"" << ip(i) << ":" << p << "\"";
     out << "]\n";
     if (control) {
         fs::create_directories(data);
@@ -101,8 +107,8 @@
     if (control)
         out << "control_addr = \"" << ip(machine) << ":" << p << "\"\n";
     else
-        out << "front_addr = \"" << ip(machine) << ":" << p << "\"\nready_addr = \"" << ip(machine) << ":" << port_ + 20
-            << "\"\n";
+        out << "front_addr = \"" << ip(machine) << ":" << p << "\"\nready_addr = \"" << ip(machine) << ":"
+            << port_ + 20 << "\"\n";
     out << "[platform_api]\naddress = \"127.0.0.1:" << port_ + 9 << "\"\nassignments = [\"promotion\"]\n"
         << "[guarantees]\ngrace_s = 4\ndrain_ms = 7000\n";
     return path;
@@ -110,8 +116,8 @@
 
 void Site::start(const std::string& name) {
     const std::string command = name.substr(0, name.find('-'));
-    processes_[name] =
-        std::make_unique<Process>(POST, std::vector<std::string>{command, "--settings", settings(name)}, name);
+    processes_[name] = std::make_unique<Process>(
+        SYSTEM_PROGRAM, std::vector<std::string>{command, "--settings", settings(name)}, name);
 }
 
 void Site::signal(const std::string& name, int number) {
@@ -144,8 +150,8 @@
 int Site::put(int member, const std::string& path, const std::string& body) {
     std::promise<int> done;
     boost::asio::post(loop, [&] {
-        parcel::httpCall(loop, endpointOf(ip(member) + ":" + std::to_string(port_)), "PUT", path, {}, body, 1500,
-                         [&](int status) { done.set_value(status); });
+        transport::httpCall(loop, endpointOf(ip(member) + ":" + std::to_string(port_)), "PUT", path, {}, body,
+                            1500, [&](int status) { done.set_value(status); });
     });
     return done.get_future().get();
 }
@@ -153,8 +159,8 @@
 int Site::ready() {
     std::promise<int> done;
     boost::asio::post(loop, [&] {
-        parcel::httpCall(loop, endpointOf(ip(members_) + ":" + std::to_string(port_ + 20)), "GET", "/ready", {}, "", 500,
-                         [&](int status) { done.set_value(status); });
+        transport::httpCall(loop, endpointOf(ip(members_) + ":" + std::to_string(port_ + 20)), "GET",
+                            "/ready", {}, "", 500, [&](int status) { done.set_value(status); });
     });
     return done.get_future().get();
 }
@@ -166,8 +172,16 @@
 std::string Site::configuration(int edition, const std::string& more) const {
     nlohmann::json routes = nlohmann::json::array();
     auto route = [&](const std::string& name, const char* mode) {
-        routes.push_back({{"label", name}, {"hostname", name}, {"path_prefix", "/"}, {"mode", mode}, {"depot", "svc"},
-                          {"deadline_ms", 2000}, {"target_ms", 200}, {"precedence", 1}, {"tries", 2}, {"staleness_ms", 1500}});
+        routes.push_back({{"label", name},
+                          {"hostname", name},
+                          {"path_prefix", "/"},
+                          {"mode", mode},
+                          {"depot", "svc"},
+                          {"deadline_ms", 2000},
+                          {"target_ms", 200},
+                          {"precedence", 1},
+                          {"tries", 2},
+                          {"staleness_ms", 1500}});
     };
     route("primary", "head_office");
     route("bounded", "age_bounded");
@@ -184,7 +198,8 @@
     socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const timeval wait{6, 0};
     ::setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
-    if (::connect(socket_, where.data(), static_cast<socklen_t>(where.size())) == 0) ask("GREET " + database + " u");
+    if (::connect(socket_, where.data(), static_cast<socklen_t>(where.size())) == 0)
+        ask("GREET " + database + " u");
 }
 
 WireClient::~WireClient() {
--- a/standins/site.hpp
+++ b/standins/site.hpp
@@ -1,5 +1,5 @@
-// A small site on loopback: stores that call control with beats and speak the wire, the platform's promotions, and the
-// real processes of the system, each on an address of its own.
+// A small site on loopback: stores that call control with beats and speak the wire, the platform's
+// promotions, and the real processes of the system, each on an address of its own.
 #pragma once
 
 #include <atomic>
@@ -10,9 +10,9 @@
 #include <thread>
 
 #include "databases.hpp"
-#include "parcel/http.hpp"
-#include "parcel/stream.hpp"
 #include "process.hpp"
+#include "transport/http.hpp"
+#include "transport/stream.hpp"
 
 namespace granitereel::standins {
 
@@ -22,7 +22,7 @@
     Site(int members, int port);
     ~Site();
 
-    // Processes by name: "sorting-0", ..., "courier", "counter". A wipe takes the member's disk.
+    // Processes by name: "control-0", ..., "agent", "proxy". A wipe takes the member's disk.
     void start(const std::string& name);
     void signal(const std::string& name, int number);
     // Its exit code; the process must have been told to end.
@@ -52,17 +52,19 @@
     std::atomic<int> promotions{0};
 
 private:
-    std::string ip(int machine) const { return "127.7." + std::to_string(port_ % 250) + "." + std::to_string(machine + 1); }
+    std::string ip(int machine) const {
+        return "127.7." + std::to_string(port_ % 250) + "." + std::to_string(machine + 1);
+    }
     std::string settings(const std::string& name);
     void beat();
-    void serve(const std::string& store, std::shared_ptr<parcel::Stream> stream);
+    void serve(const std::string& store, std::shared_ptr<transport::Stream> stream);
 
     int members_, port_;
     std::string folder_;
     std::map<std::string, std::unique_ptr<Process>> processes_;
-    std::vector<std::unique_ptr<parcel::Listener>> listeners_;
-    std::unique_ptr<parcel::HttpServer> platform_;
-    std::map<std::string, std::map<int, std::shared_ptr<parcel::Stream>>> open_;
+    std::vector<std::unique_ptr<transport::Listener>> listeners_;
+    std::unique_ptr<transport::HttpServer> platform_;
+    std::map<std::string, std::map<int, std::shared_ptr<transport::Stream>>> open_;
     boost::asio::steady_timer timer_{loop};
     int seq_ = 0, asked_ = 0;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{loop.get_executor()};
--- a/tests/system/control.cpp
+++ b/tests/system/control.cpp
@@ -1,23 +1,23 @@
-// Control's state machines: registers under every order of a few messages, succession under the owner's death between
-// any two steps, members in virtual time with disks that forget and links that cut.
+// Control's state machines: registers under every order of a few messages, succession under the owner's death
+// between any two steps, members in virtual time with disks that forget and links that cut.
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <deque>
 #include <random>
 
-#include "sorting/office.hpp"
+#include "control/member.hpp"
 #include "standins/databases.hpp"
 
 namespace {
 using namespace granitereel;
-using namespace granitereel::sorting;
+using namespace granitereel::control;
 using standins::Databases;
 
 // ---- registers ------------------------------------------------------------------------------------
 
-// Three acceptors and two proposers that change one register at once. `order` says, step by step, which of the
-// messages under way is delivered; what is left is lost.
+// Three acceptors and two proposers that change one register at once. `order` says, step by step, which of
+// the messages under way is delivered; what is left is lost.
 struct Duel {
     std::map<std::string, Acceptor> acceptors{{"a", {}}, {"b", {}}, {"c", {}}};
     std::vector<std::unique_ptr<Proposer>> proposers;
@@ -33,7 +33,8 @@
         for (int i = 0; i < 2; ++i) {
             const std::string self = i == 0 ? "a" : "b";
             proposers.push_back(std::make_unique<Proposer>(
-                self, [this, self](const std::string& name) -> const Slot& { return acceptors[self].at(name); }));
+                self,
+                [this, self](const std::string& name) -> const Slot& { return acceptors[self].at(name); }));
             proposers[i]->core({1, {"a", "b", "c"}}, 1);
             // Both send a body under edition 7: one of them may be taken, and only one.
             proposers[i]->begin({"config",
@@ -57,7 +58,8 @@
         const bool accept = m.body.at("k") == "accept";
         Json reply{{"n", "config"}, {"t", m.body.at("t")}};
         Json value = m.body.value("v", Json());
-        const bool taken = accept ? acceptor.accept("config", ballot, value) : acceptor.promise("config", ballot);
+        const bool taken =
+            accept ? acceptor.accept("config", ballot, value) : acceptor.promise("config", ballot);
         const Slot& slot = acceptor.at("config");
         reply["k"] = !taken ? "refused" : accept ? "accepted" : "promised";
         reply["r"] = taken ? ballot.round : slot.promised.round;
@@ -81,7 +83,8 @@
 TEST(Register, TakesOneBodyUnderANumberInEveryOrder) {
     int orders = 0, acknowledged = 0;
     std::vector<std::size_t> order;
-    // Depth first: after each prefix all messages that are left are lost, and what was acknowledged must be read.
+    // Depth first: after each prefix all messages that are left are lost, and what was acknowledged must be
+    // read.
     auto explore = [&](auto& self, std::size_t depth) -> void {
         Duel duel;
         Nanos now = millis(1);
@@ -90,7 +93,8 @@
         for (const auto& ended : duel.ended) {
             if (!ended) continue;
             ++acknowledged;
-            for (const char* out : {"a", "b", "c"}) ASSERT_EQ(duel.readWithout(out), *ended) << testing::PrintToString(order);
+            for (const char* out : {"a", "b", "c"})
+                ASSERT_EQ(duel.readWithout(out), *ended) << testing::PrintToString(order);
         }
         if (depth == 0) return;
         const std::size_t choices = std::min<std::size_t>(duel.under.size(), 6);
@@ -129,7 +133,9 @@
     }
     void beat(const std::string& store, const std::string& standing = "accepting") {
         known.put("store/" + store, {{++version, 0},
-                                     {{"service", "svc"}, {"address", store}, {"standing", standing},
+                                     {{"service", "svc"},
+                                      {"address", store},
+                                      {"standing", standing},
                                       {"role", databases.roleOf(store)}}});
     }
     Outputs& outputs() override { return out; }
@@ -137,7 +143,8 @@
         asks[next] = &asker;
         return next++;
     }
-    void change(const std::string&, std::uint64_t ifSeq, Lead to, std::function<void(std::optional<Lead>)> done) override {
+    void change(const std::string&, std::uint64_t ifSeq, Lead to,
+                std::function<void(std::optional<Lead>)> done) override {
         if ((lead ? lead->seq : 0) != ifSeq) return done(std::nullopt);
         lead = to;
         known.put("lead/svc", {{to.seq, 0}, written(to)});
@@ -158,7 +165,8 @@
                     const int line = databases.connect(ask->store);
                     std::optional<StoreRow> row;
                     databases.said(line, "GREET svc control " + ask->store);
-                    if (const auto told = databases.said(line, "QUERY - " + ask->text); told && told->starts_with("ROW "))
+                    if (const auto told = databases.said(line, "QUERY - " + ask->text);
+                        told && told->starts_with("ROW "))
                         row = readRow(told->substr(4, told->find("\r\n") - 4));
                     databases.closed(line);
                     if (answers) owner.answered(ask->ask, row, now);
@@ -247,7 +255,8 @@
         settleDown(rule, owner, now, millis(250));
     }
     EXPECT_EQ(rule.lead->fence, 0u);
-    // It is silent for a while, and back before anyone could be promoted: it leads on, and its replicas receive.
+    // It is silent for a while, and back before anyone could be promoted: it leads on, and its replicas
+    // receive.
     rule.databases.dark("s0", true);
     owner.suspected("s0", now);
     settleDown(rule, owner, now, millis(500));
@@ -281,8 +290,8 @@
     EXPECT_EQ(rule.acknowledged.back(), "last");  // nobody is left paused
 }
 
-// The owner dies after each number of steps, with its last answer heard or not; another takes over, and the dead
-// one's calls come late.
+// The owner dies after each number of steps, with its last answer heard or not; another takes over, and the
+// dead one's calls come late.
 TEST(Succession, SurvivesTheOwnersDeathBetweenAnyTwoSteps) {
     int tried = 0;
     for (const bool planned : {false, true})
@@ -320,7 +329,8 @@
                 // What the dead one had still on its way comes late: an older fence changes nothing.
                 const std::string leads = rule.databases.lead();
                 for (Output& each : late)
-                    if (auto* post = std::get_if<ToPlatform>(&each); post && post->fence < rule.highestFence) {
+                    if (auto* post = std::get_if<ToPlatform>(&each);
+                        post && post->fence < rule.highestFence) {
                         rule.out.push_back(*post);
                         rule.serve(second, now);
                         EXPECT_EQ(rule.databases.lead(), leads);
@@ -343,12 +353,13 @@
 
 // ---- members --------------------------------------------------------------------------------------
 
-// Members of control over links in virtual time. Each has a disk; a crash takes what is under way, a wipe the disk.
+// Members of control over links in virtual time. Each has a disk; a crash takes what is under way, a wipe the
+// disk.
 struct World {
     struct Member {
-        satchel::Satchel settings;
+        settings::Settings settings;
         std::map<std::string, Json> disk;
-        std::unique_ptr<Office> office;
+        std::unique_ptr<ControlMember> control;
         int incarnation = 0;
         std::map<std::string, int> dialled;
         std::map<std::uint64_t, std::pair<Kind, std::string>> answers;
@@ -379,7 +390,7 @@
         }
         for (int i = 0; i < seeds + more; ++i) {
             Member& m = members[address(i)];
-            m.settings.station = "sorting-" + std::to_string(i);
+            m.settings.station = "control-" + std::to_string(i);
             m.settings.controlAddress = address(i);
             m.settings.seeds = seedList;
             m.settings.firstBoot = true;
@@ -391,13 +402,13 @@
     void start(const std::string& name) {
         Member& m = members[name];
         if (!m.disk.count("incarnation")) m.disk["incarnation"] = std::to_string(++m.incarnation);
-        m.office = std::make_unique<Office>(m.settings, m.disk["incarnation"], m.disk, now);
+        m.control = std::make_unique<ControlMember>(m.settings, m.disk["incarnation"], m.disk, now);
         ++lives[name];
         carry(name);
     }
     void kill(const std::string& name, bool wipe = false) {
         Member& m = members[name];
-        m.office.reset();
+        m.control.reset();
         ++lives[name];
         m.writesLeft = 1 << 30;
         for (auto it = wires.begin(); it != wires.end();) {
@@ -409,8 +420,8 @@
             const int link = it->first;
             it = wires.erase(it);
             for (auto& [other, o] : members)
-                if (o.office && ends[link] == other) {
-                    o.office->linkDown(link, now);
+                if (o.control && ends[link] == other) {
+                    o.control->linkDown(link, now);
                     for (auto& [to, no] : o.dialled)
                         if (no == link) no = 0;
                 }
@@ -426,16 +437,18 @@
         ends[a] = from;
         ends[b] = to;
         members[from].dialled[to] = a;
-        members[to].office->linkUp(b, "", now);
-        members[from].office->linkUp(a, to, now);
+        members[to].control->linkUp(b, "", now);
+        members[from].control->linkUp(a, to, now);
         carry(to);
         carry(from);
     }
-    bool reach(const std::string& a, const std::string& b) { return !cut.count({a, b}) && !cut.count({b, a}); }
+    bool reach(const std::string& a, const std::string& b) {
+        return !cut.count({a, b}) && !cut.count({b, a});
+    }
     void carry(const std::string& name) {
         Member& m = members[name];
-        if (!m.office) return;
-        for (Output& each : m.office->takeOutputs()) {
+        if (!m.control) return;
+        for (Output& each : m.control->takeOutputs()) {
             if (auto* disk = std::get_if<ToDisk>(&each)) {
                 if (m.writesLeft-- <= 0) return kill(name);
                 m.disk[disk->name] = disk->body;
@@ -444,7 +457,8 @@
                 if (wire == wires.end()) continue;
                 const auto& [to, link] = wire->second;
                 if (!reach(name, to)) continue;
-                packets.push_back({now + millis(1) + Nanos(chance() % 3'000'000), name, to, link, out->message, lives[to]});
+                packets.push_back(
+                    {now + millis(1) + Nanos(chance() % 3'000'000), name, to, link, out->message, lives[to]});
                 // A link keeps its order.
                 for (const Packet& p : packets)
                     if (p.linkTo == link) packets.back().at = std::max(packets.back().at, p.at + 1);
@@ -459,26 +473,29 @@
             any = false;
             std::size_t best = packets.size();
             for (std::size_t i = 0; i < packets.size(); ++i)
-                if (packets[i].at <= now && (best == packets.size() || packets[i].at < packets[best].at)) best = i;
+                if (packets[i].at <= now && (best == packets.size() || packets[i].at < packets[best].at))
+                    best = i;
             if (best == packets.size()) break;
             const Packet p = packets[best];
             packets.erase(packets.begin() + static_cast<std::ptrdiff_t>(best));
             any = true;
             Member& to = members[p.to];
-            if (!to.office || lives[p.to] != p.epoch || !wires.count(p.linkTo) || !reach(p.from, p.to)) continue;
-            to.office->heard(p.linkTo, p.message, now);
+            if (!to.control || lives[p.to] != p.epoch || !wires.count(p.linkTo) || !reach(p.from, p.to))
+                continue;
+            to.control->heard(p.linkTo, p.message, now);
             carry(p.to);
         }
         if (now / millis(1) % 50) return;
         for (auto& [name, m] : members) {
-            if (!m.office) continue;
-            for (const std::string& to : m.office->toDial()) {
+            if (!m.control) continue;
+            for (const std::string& to : m.control->toDial()) {
                 const auto other = members.find(to);
-                if (other != members.end() && other->second.office && !m.dialled[to] && reach(name, to)) connect(name, to);
-                if (!m.office) break;
+                if (other != members.end() && other->second.control && !m.dialled[to] && reach(name, to))
+                    connect(name, to);
+                if (!m.control) break;
             }
-            if (!m.office) continue;
-            m.office->tick(now);
+            if (!m.control) continue;
+            m.control->tick(now);
             carry(name);
         }
     }
@@ -487,19 +504,23 @@
     }
     std::uint64_t put(const std::string& at, std::uint64_t edition, const std::string& mark) {
         const std::uint64_t call = ++lastCall;
-        members[at].office->call(call, "PUT", {"config"},
-                                 Json{{"edition", edition}, {"itineraries", Json::array()}, {"depots", Json::array()}, {"mark", mark}}
-                                     .dump(),
-                                 now);
+        members[at].control->call(call, "PUT", {"config"},
+                                  Json{{"edition", edition},
+                                       {"itineraries", Json::array()},
+                                       {"depots", Json::array()},
+                                       {"mark", mark}}
+                                      .dump(),
+                                  now);
         carry(at);
         return call;
     }
     std::optional<Json> get(const std::string& at) {
         const std::uint64_t call = ++lastCall;
-        members[at].office->call(call, "GET", {"config"}, "", now);
+        members[at].control->call(call, "GET", {"config"}, "", now);
         carry(at);
         for (int i = 0; i < 2000 && !members[at].answers.count(call); ++i) step();
-        if (!members[at].answers.count(call) || members[at].answers[call].first != Kind::taken) return std::nullopt;
+        if (!members[at].answers.count(call) || members[at].answers[call].first != Kind::taken)
+            return std::nullopt;
         return Json::parse(members[at].answers[call].second);
     }
     bool taken(const std::string& at, std::uint64_t call) {
@@ -511,7 +532,7 @@
     World world(3, 2, 1);
     world.run(millis(4000));
     for (auto& [name, m] : world.members) {
-        const Json state = m.office->state(world.now);
+        const Json state = m.control->state(world.now);
         EXPECT_EQ(state["voters"].size(), 5u) << name;
         EXPECT_TRUE(state["votes"].get<bool>()) << name;
         EXPECT_GT(state["lease_left_ms"].get<int>(), 0) << name;
@@ -559,10 +580,10 @@
     world.kill(World::address(2));
     world.start(World::address(1));
     world.run(millis(5000));
-    EXPECT_FALSE(world.members[World::address(1)].office->state(world.now)["votes"].get<bool>());
+    EXPECT_FALSE(world.members[World::address(1)].control->state(world.now)["votes"].get<bool>());
     world.start(World::address(2));
     world.run(millis(3000));
-    EXPECT_TRUE(world.members[World::address(1)].office->state(world.now)["votes"].get<bool>());
+    EXPECT_TRUE(world.members[World::address(1)].control->state(world.now)["votes"].get<bool>());
     world.kill(World::address(0));
     world.kill(World::address(2));
     world.start(World::address(2));
@@ -583,7 +604,7 @@
         world.run(millis(2500));
         std::set<std::string> seen;
         for (auto& [name, m] : world.members)
-            if (m.office) seen.insert(m.office->state(world.now)["edition"].dump());
+            if (m.control) seen.insert(m.control->state(world.now)["edition"].dump());
         EXPECT_EQ(seen.size(), 1u) << writes;
         told += seen.count("9") > 0;
     }
@@ -596,27 +617,30 @@
     do {
         World world(1, 0, 5);
         world.run(millis(200));
-        Office& office = *world.members[World::address(0)].office;
+        ControlMember& control = *world.members[World::address(0)].control;
         auto beat = [&](int seq, const char* standing) {
-            office.call(++world.lastCall, "PUT", {"stores", "i-1"},
-                        Json{{"depot", "svc"}, {"address", "10.9.0.1:80"}, {"standing", standing}, {"db_role", "head_office"},
-                             {"call_seq", seq}}
-                            .dump(),
-                        world.now);
+            control.call(++world.lastCall, "PUT", {"stores", "i-1"},
+                         Json{{"depot", "svc"},
+                              {"address", "10.9.0.1:80"},
+                              {"standing", standing},
+                              {"db_role", "head_office"},
+                              {"call_seq", seq}}
+                             .dump(),
+                         world.now);
         };
         for (const int what : order) {
             if (what == 0) beat(1, "accepting");
             if (what == 1) beat(3, "winding_down");
-            if (what == 2) office.call(++world.lastCall, "DELETE", {"stores", "i-1"}, "", world.now);
+            if (what == 2) control.call(++world.lastCall, "DELETE", {"stores", "i-1"}, "", world.now);
             if (what == 3) beat(2, "accepting");
         }
-        for (const Output& each : office.takeOutputs()) {
+        for (const Output& each : control.takeOutputs()) {
             const auto* answer = std::get_if<ToCaller>(&each);
             if (answer) {
                 EXPECT_EQ(answer->kind, Kind::taken);
             }
         }
-        const auto* record = static_cast<const Succession::Means&>(office).board().find("store/i-1");
+        const auto* record = static_cast<const Succession::Means&>(control).board().find("store/i-1");
         ASSERT_TRUE(record);
         // Gone stays gone where anything was known before; else the highest number counts.
         const bool knownBefore = order[0] != 2;
@@ -631,18 +655,22 @@
     World world(1, 0, 5);
     world.run(millis(300));
     const std::string at = World::address(0);
-    Office& office = *world.members[at].office;
+    ControlMember& control = *world.members[at].control;
     auto sent = [&](const std::string& body) {
-        office.call(++world.lastCall, "PUT", {"config"}, body, world.now);
+        control.call(++world.lastCall, "PUT", {"config"}, body, world.now);
         world.carry(at);
         world.run(millis(100));
         return world.members[at].answers[world.lastCall];
     };
-    const std::string route = R"({"label":"r","hostname":"h","path_prefix":"/","depot":"d","deadline_ms":100,"mode":"own"})";
+    const std::string route =
+        R"({"label":"r","hostname":"h","path_prefix":"/","depot":"d","deadline_ms":100,"mode":"own"})";
     const std::string whole = R"({"edition":4,"itineraries":[)" + route + R"(],"depots":[{"label":"d"}]})";
     EXPECT_EQ(sent(whole.substr(0, 40)).first, Kind::notSound);
-    EXPECT_EQ(sent(R"({"edition":4,"itineraries":[)" + route + "," + route + R"(],"depots":[{"label":"d"}]})").first, Kind::notSound);
-    EXPECT_NE(sent(R"({"edition":4,"itineraries":[)" + route + R"(],"depots":[]})").second.find("unknown depot 'd'"),
+    EXPECT_EQ(sent(R"({"edition":4,"itineraries":[)" + route + "," + route + R"(],"depots":[{"label":"d"}]})")
+                  .first,
+              Kind::notSound);
+    EXPECT_NE(sent(R"({"edition":4,"itineraries":[)" + route + R"(],"depots":[]})")
+                  .second.find("unknown depot 'd'"),
               std::string::npos);
     std::string zero = whole;
     zero.replace(zero.find(":100"), 4, ":0");
@@ -652,15 +680,15 @@
     older.replace(older.find(":4"), 2, ":3");
     EXPECT_EQ(sent(older).first, Kind::taken);
     EXPECT_EQ(world.get(at)->at("edition"), 4);
-    office.call(++world.lastCall, "POST", {"config"}, "", world.now);
-    office.call(++world.lastCall, "GET", {"nothing"}, "", world.now);
+    control.call(++world.lastCall, "POST", {"config"}, "", world.now);
+    control.call(++world.lastCall, "GET", {"nothing"}, "", world.now);
     world.carry(at);
     EXPECT_EQ(world.members[at].answers[world.lastCall - 1].first, Kind::notAllowed);
     EXPECT_EQ(world.members[at].answers[world.lastCall].first, Kind::notFound);
 }
 
-// Cuts, crashes and wipes by chance, one machine at a time; what was acknowledged is read back. The seed is the bug
-// report.
+// Cuts, crashes and wipes by chance, one machine at a time; what was acknowledged is read back. The seed is
+// the bug report.
 TEST(Members, KeepWhatWasAcknowledgedThroughTroubleByChance) {
     const char* const more = std::getenv("SEEDS");
     const unsigned seeds = more ? static_cast<unsigned>(std::stoul(more)) : 12;
@@ -682,7 +710,7 @@
             if (trouble == 3) world.kill(victim, true);
             for (int i = 0; i < 3; ++i) {
                 const std::string at = World::address(static_cast<int>(chance() % size));
-                if (world.members[at].office) {
+                if (world.members[at].control) {
                     ++edition;
                     calls.emplace_back(at, world.put(at, edition, std::to_string(edition)));
                 }
@@ -690,10 +718,11 @@
             }
             world.run(millis(1200));
             for (std::size_t c = 0; c < calls.size(); ++c)
-                if (world.taken(calls[c].first, calls[c].second)) acknowledged = std::max(acknowledged, 11 + c);
+                if (world.taken(calls[c].first, calls[c].second))
+                    acknowledged = std::max(acknowledged, 11 + c);
             world.cut.clear();
             world.members[victim].writesLeft = 1 << 30;
-            if (!world.members[victim].office) world.start(victim);
+            if (!world.members[victim].control) world.start(victim);
             world.run(millis(4000));
         }
         const auto read = world.get(World::address(static_cast<int>(chance() % size)));
