--- a/tests/system/inputs.cpp
+++ b/tests/system/inputs.cpp
@@ -1,39 +1,52 @@
-// What is read from outside: the wire's lines, settings, configurations, positions; and the agent's choice of parents.
+// What is read from outside: the wire's lines, settings, configurations, positions; and the agent's choice of
+// parents.
 #include <gtest/gtest.h>
 
 #include <fstream>
 
+#include "agent/agent.hpp"
 #include "board/gossip.hpp"
-#include "counter/horizon.hpp"
-#include "counter/wire.hpp"
-#include "courier/courier.hpp"
-#include "satchel/satchel.hpp"
+#include "proxy/horizon.hpp"
+#include "proxy/wire.hpp"
+#include "settings/settings.hpp"
 
 namespace {
 using namespace granitereel;
-using counter::Horizon;
-using counter::readStatement;
-using Kind = counter::Statement::Kind;
+using proxy::Horizon;
+using proxy::readStatement;
+using Kind = proxy::Statement::Kind;
 
 TEST(Wire, ReadsEachTextAndNothingElse) {
-    const std::pair<const char*, Kind> texts[] = {
-        {"BEGIN", Kind::begin},          {"BEGIN READ", Kind::beginRead}, {"COMMIT", Kind::commit},
-        {"ABORT", Kind::abort},          {"READ a b", Kind::read},        {"WRITE a b c", Kind::write},
-        {"SET n v w", Kind::set},        {"PARSE s READ x y", Kind::parse}, {"EXECUTE s t d", Kind::execute},
-        {"CLOSE s", Kind::close},        {"BEGIN WRITE", Kind::malformed}, {"COMMIT now", Kind::malformed},
-        {"PARSE s READ", Kind::malformed}, {"EXECUTE s", Kind::malformed}, {"", Kind::malformed},
-        {"STATUS", Kind::malformed},     {"PAUSE 3", Kind::malformed},    {"AFTER 1.1 READ x", Kind::malformed},
-        {"RESET", Kind::malformed}};
+    const std::pair<const char*, Kind> texts[] = {{"BEGIN", Kind::begin},
+                                                  {"BEGIN READ", Kind::beginRead},
+                                                  {"COMMIT", Kind::commit},
+                                                  {"ABORT", Kind::abort},
+                                                  {"READ a b", Kind::read},
+                                                  {"WRITE a b c", Kind::write},
+                                                  {"SET n v w", Kind::set},
+                                                  {"PARSE s READ x y", Kind::parse},
+                                                  {"EXECUTE s t d", Kind::execute},
+                                                  {"CLOSE s", Kind::close},
+                                                  {"BEGIN WRITE", Kind::malformed},
+                                                  {"COMMIT now", Kind::malformed},
+                                                  {"PARSE s READ", Kind::malformed},
+                                                  {"EXECUTE s", Kind::malformed},
+                                                  {"", Kind::malformed},
+                                                  {"STATUS", Kind::malformed},
+                                                  {"PAUSE 3", Kind::malformed},
+                                                  {"AFTER 1.1 READ x", Kind::malformed},
+                                                  {"RESET", Kind::malformed}};
     for (const auto& [text, kind] : texts) EXPECT_EQ(readStatement("q", text).kind, kind) << text;
     EXPECT_EQ(readStatement("q", "PARSE s WRITE x y").value, "x y");
     EXPECT_EQ(readStatement("q", "EXECUTE s t d e").thing, "t d e");
-    EXPECT_EQ(counter::errorOf("LAGGING"), counter::Error::lagging);
-    EXPECT_EQ(counter::errorOf("SOMETHING"), counter::Error::other);
+    EXPECT_EQ(proxy::errorOf("LAGGING"), proxy::Error::lagging);
+    EXPECT_EQ(proxy::errorOf("SOMETHING"), proxy::Error::other);
 }
 
 TEST(Marks, CompareByTermFirst) {
     EXPECT_LT(*readMark("2.900"), *readMark("3.1"));
-    for (const char* bad : {"", "-", "3", "3.", ".4", "3.4.5", "a.b", "3.4x"}) EXPECT_FALSE(readMark(bad)) << bad;
+    for (const char* bad : {"", "-", "3", "3.", ".4", "3.4.5", "a.b", "3.4x"})
+        EXPECT_FALSE(readMark(bad)) << bad;
     EXPECT_EQ(written(*readMark("3.1207")), "3.1207");
 }
 
@@ -41,7 +54,8 @@
     Horizon horizon;
     EXPECT_FALSE(horizon.covering(0));
     horizon.saw({1, 10}, millis(1000));
-    horizon.saw({1, 8}, millis(1100));  // overtaken on its way: shows less, and covers as much as the one before
+    horizon.saw({1, 8},
+                millis(1100));  // overtaken on its way: shows less, and covers as much as the one before
     horizon.saw({1, 20}, millis(1200));
     horizon.saw({2, 21}, millis(1300));
     EXPECT_EQ(*horizon.covering(millis(900)), (Mark{1, 10}));
@@ -60,22 +74,23 @@
     return path;
 }
 
-TEST(Satchel, SaysWhatIsWrongAndWhere) {
+TEST(Settings, SaysWhatIsWrongAndWhere) {
     const std::string sound =
         "station = \"a\"\nip_addr = \"10.0.0.1\"\ndistrict = \"d\"\nspare_ports = [7000, 7010]\n"
         "seed_list = [\"10.0.0.2:80\"]\nnovelty = 3\n[guarantees]\ngrace_s = 2.5\n";
-    const auto read = satchel::read(settings(sound));
+    const auto read = settings::read(settings(sound));
     EXPECT_EQ(read.station, "a");
     EXPECT_EQ(read.grace_ms, 2500);
     auto fault = [](const std::string& text) -> std::string {
         try {
-            satchel::read(settings(text));
-        } catch (const satchel::Unusable& unusable) {
+            settings::read(settings(text));
+        } catch (const settings::InvalidSettings& unusable) {
             return unusable.what();
         }
         return "none";
     };
-    EXPECT_NE(fault(sound + "station = \n").find("line 9"), std::string::npos) << fault(sound + "station = \n");
+    EXPECT_NE(fault(sound + "station = \n").find("line 9"), std::string::npos)
+        << fault(sound + "station = \n");
     EXPECT_NE(fault("ip_addr = \"x\"\n").find("'station'"), std::string::npos);
     std::string ports = sound;
     ports.replace(ports.find("[7000, 7010]"), 12, "[7010, 7000]");
@@ -83,15 +98,17 @@
     EXPECT_NE(fault("station = 3\n").find("another type"), std::string::npos);
 }
 
-// Two boards over a link that may lose what is under way with itself: a snapshot and changes bring them together, by
-// patches where both hold the version before and by the whole where not.
+// Two boards over a link that may lose what is under way with itself: a snapshot and changes bring them
+// together, by patches where both hold the version before and by the whole where not.
 TEST(Gossip, BringsTogetherBySnapshotAndChanges) {
     std::vector<std::pair<int, nlohmann::json>> fromA, fromB;
     int newsAtB = 0;
     board::Gossip a([&](int link, auto message) { fromA.emplace_back(link, message); }, [](auto&, auto&) {});
-    board::Gossip b([&](int link, auto message) { fromB.emplace_back(link, message); }, [&](auto&, auto&) { ++newsAtB; });
+    board::Gossip b([&](int link, auto message) { fromB.emplace_back(link, message); },
+                    [&](auto&, auto&) { ++newsAtB; });
     nlohmann::json body;
-    for (int i = 0; i < 200; ++i) body["routes"]["r" + std::to_string(i)] = {{"deadline_ms", i}, {"depot", "d"}};
+    for (int i = 0; i < 200; ++i)
+        body["routes"]["r" + std::to_string(i)] = {{"deadline_ms", i}, {"depot", "d"}};
     a.put("config", {{1, 0}, body});
     a.join(1), b.join(1);
     auto exchange = [&](bool lose = false) {
@@ -123,48 +140,58 @@
     EXPECT_EQ(newsAtB, 3);
 }
 
-TEST(Courier, PrefersItsDistrictAndLeavesParentsWithoutALease) {
-    satchel::Satchel s;
-    s.station = "counter-1";
+TEST(Agent, PrefersItsDistrictAndLeavesParentsWithoutALease) {
+    settings::Settings s;
+    s.station = "proxy-1";
     s.ip = "10.0.0.9";
     s.district = "here";
     s.seeds = {"10.1.0.1:80", "10.2.0.1:80"};
     Nanos now = millis(1000);
-    courier::Courier courier(s, now);
-    EXPECT_EQ(courier.parents().size(), 2u);
+    agent::Agent agent(s, now);
+    EXPECT_EQ(agent.parents().size(), 2u);
     auto news = [&](const std::string& name, const char* ip, const char* district) {
-        courier.heard(5, {{"k", "news"}, {"r", {{{"n", name}, {"v", {1, 0}}, {"b", {{"ip", ip}, {"district", district}}}}}}}, now);
+        agent.heard(5,
+                    {{"k", "news"},
+                     {"r", {{{"n", name}, {"v", {1, 0}}, {"b", {{"ip", ip}, {"district", district}}}}}}},
+                    now);
     };
-    courier.upward(5, "10.1.0.1", now);
+    agent.upward(5, "10.1.0.1", now);
     news("member/10.1.0.1:80", "10.1.0.1", "far");
     news("member/10.2.0.1:80", "10.2.0.1", "here");
-    EXPECT_EQ(courier.betterParent(), "10.2.0.1");
-    courier.upward(6, "10.2.0.1", now);
-    EXPECT_EQ(courier.betterParent(), "");
-    courier.take();
+    EXPECT_EQ(agent.betterParent(), "10.2.0.1");
+    agent.upward(6, "10.2.0.1", now);
+    EXPECT_EQ(agent.betterParent(), "");
+    agent.take();
     for (int i = 0; i < 5; ++i) {
-        courier.tick(now += millis(200));
-        for (const auto& said : courier.take())
+        agent.tick(now += millis(200));
+        for (const auto& said : agent.take())
             if (said.message["k"] == "lease?")
-                courier.heard(6, {{"k", "lease"}, {"t", said.message["t"]}, {"left", 600'000}, {"c", nlohmann::json::object()}}, now);
+                agent.heard(6,
+                            {{"k", "lease"},
+                             {"t", said.message["t"]},
+                             {"left", 600'000},
+                             {"c", nlohmann::json::object()}},
+                            now);
     }
-    EXPECT_EQ(courier.leaseUntil(), now + millis(600));
-    for (int i = 0; i < 6; ++i) courier.tick(now += millis(200));
-    EXPECT_LT(courier.leaseUntil(), now);
-    EXPECT_EQ(courier.betterParent(), "10.1.0.1");
-    // Where no member is in the district, its couriers agree on who holds a link out of it; each further one hangs on
-    // one of those, and no two on each other.
+    EXPECT_EQ(agent.leaseUntil(), now + millis(600));
+    for (int i = 0; i < 6; ++i) agent.tick(now += millis(200));
+    EXPECT_LT(agent.leaseUntil(), now);
+    EXPECT_EQ(agent.betterParent(), "10.1.0.1");
+    // Where no member is in the district, its agents agree on who holds a link out of it; each further one
+    // hangs on one of those, and no two on each other.
     std::map<std::string, std::vector<std::string>> chosen;
     for (int i = 0; i < 9; ++i) {
-        satchel::Satchel each = s;
-        each.station = "counter-" + std::to_string(i), each.ip = "10.0.0." + std::to_string(i), each.district = "lonely";
-        courier::Courier it(each, now);
+        settings::Settings each = s;
+        each.station = "proxy-" + std::to_string(i), each.ip = "10.0.0." + std::to_string(i),
+        each.district = "lonely";
+        agent::Agent it(each, now);
         for (int j = 0; j < 9; ++j)
             it.heard(1,
                      {{"k", "news"},
-                      {"r", {{{"n", "front/counter-" + std::to_string(j)},
-                              {"v", {9, 0}},
-                              {"b", {{"ip", "10.0.0." + std::to_string(j)}, {"district", "lonely"}}}}}}},
+                      {"r",
+                       {{{"n", "front/proxy-" + std::to_string(j)},
+                         {"v", {9, 0}},
+                         {"b", {{"ip", "10.0.0." + std::to_string(j)}, {"district", "lonely"}}}}}}},
                      now);
         chosen[each.ip] = it.parents();
     }
--- a/tests/system/module.cpp
+++ b/tests/system/module.cpp
@@ -1,5 +1,5 @@
-// What the module of both programs learnt for the system: lanes that come, a lead that is told, a position that is
-// lowered, the near replica of either tier, and how long a late statement is held.
+// What the module of both programs learnt for the system: lanes that come, a lead that is told, a position
+// that is lowered, the near replica of either tier, and how long a late statement is held.
 #include <gtest/gtest.h>
 
 #include "front.hpp"
@@ -68,8 +68,8 @@
     const int write = rig.front->lane(lane("write", Need::write, millis(200), Effect::oneShot));
     EXPECT_EQ(rig.front->lane(lane("board", Need::bounded, millis(800))), board);
     EXPECT_NE(board, write);
-    // Reads that are out when another lane takes their tier are counted off where they were counted: else its replica
-    // would look full for ever.
+    // Reads that are out when another lane takes their tier are counted off where they were counted: else its
+    // replica would look full for ever.
     const Lane quick = lane("quick", Need::bounded, millis(100));
     const std::string store = rig.take("a", lane("board", Need::bounded, millis(800)));
     ASSERT_FALSE(store.empty());
@@ -109,7 +109,8 @@
 }
 
 TEST(Module, ReadsTheNearReplicaOfEitherTierWhileItIsLittleUsed) {
-    const Lane premium = lane("own", Need::bounded, millis(200)), freemium = lane("board", Need::bounded, millis(800));
+    const Lane premium = lane("own", Need::bounded, millis(200)),
+               freemium = lane("board", Need::bounded, millis(800));
     int farWithout = 0, farWith = 0;
     for (const bool on : {false, true}) {
         Rig rig(on);
--- a/tests/system/pooler.cpp
+++ b/tests/system/pooler.cpp
@@ -1,5 +1,5 @@
-// The proxy's state machine against stand-in databases: one backend for a transaction, one outcome for each statement,
-// no promise broken, no read too old.
+// The proxy's state machine against stand-in databases: one backend for a transaction, one outcome for each
+// statement, no promise broken, no read too old.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -7,8 +7,8 @@
 #include "standins/poolerrig.hpp"
 
 namespace {
-using granitereel::Nanos;
 using granitereel::millis;
+using granitereel::Nanos;
 using granitereel::standins::PoolerRig;
 using Lines = std::vector<std::string>;
 
@@ -65,9 +65,11 @@
     rig.ask(a, "QUERY a2 PARSE s READ shapeA");
     rig.ask(b, "QUERY b1 PARSE s WRITE shapeB");
     for (int i = 0; i < 3; ++i) {
-        EXPECT_NE(first(rig.ask(a, "QUERY ar" + std::to_string(i) + " EXECUTE s k")).find("zone=north"), std::string::npos);
+        EXPECT_NE(first(rig.ask(a, "QUERY ar" + std::to_string(i) + " EXECUTE s k")).find("zone=north"),
+                  std::string::npos);
         EXPECT_EQ(first(rig.ask(b, "QUERY bw" + std::to_string(i) + " EXECUTE s k v")).substr(0, 4), "DONE");
-        EXPECT_EQ(first(rig.ask(b, "QUERY br" + std::to_string(i) + " READ k")).find("zone="), std::string::npos);
+        EXPECT_EQ(first(rig.ask(b, "QUERY br" + std::to_string(i) + " READ k")).find("zone="),
+                  std::string::npos);
     }
     EXPECT_EQ(rig.databases.effects("bw0"), 1);
     EXPECT_EQ(first(rig.ask(a, "QUERY a9 EXECUTE t k")).substr(0, 13), "ERROR UNKNOWN");
@@ -118,7 +120,7 @@
     EXPECT_EQ(rig.databases.effects("w2"), 1);
     rig.ask(b, "QUERY b3 BEGIN");
     rig.ask(b, "QUERY w3 WRITE x 3");
-    rig.run(millis(3200));  // tx_idle_ms is 3,000
+    rig.run(millis(3200));              // tx_idle_ms is 3,000
     EXPECT_EQ(rig.told(b).size(), 0u);  // nothing is said unasked
     EXPECT_EQ(state(rig.ask(b, "QUERY w4 WRITE x 4")), "E");
     EXPECT_EQ(state(rig.ask(b, "QUERY a5 ABORT")), "I");
@@ -175,8 +177,9 @@
     rig.say(idle, "QUERY w2 WRITE y 1");
     rig.run(millis(300));
     // Control hears of it before anyone else notices.
-    EXPECT_TRUE(std::any_of(rig.toCourier.begin(), rig.toCourier.end(),
-                            [](const auto& m) { return m.value("k", "") == "suspect" && m.value("store", "") == "s0"; }));
+    EXPECT_TRUE(std::any_of(rig.toCourier.begin(), rig.toCourier.end(), [](const auto& m) {
+        return m.value("k", "") == "suspect" && m.value("store", "") == "s0";
+    }));
     ASSERT_TRUE(rig.databases.promote("s1"));
     rig.lead("s1");
     rig.run(millis(100));
@@ -222,8 +225,9 @@
     PoolerRig rig;
     const int c = rig.client();
     rig.told(c);
-    for (const char* bad : {"QUERY q1 FLY x", "QUERY q2 READ", "QUERY - READ x", "QUERY q3 COMMIT", "QUERY q4 ABORT",
-                            "QUERY q5 PARSE s BOTH x", "QUERY q6 SET", "QUERY", "QUERY q7"}) {
+    for (const char* bad :
+         {"QUERY q1 FLY x", "QUERY q2 READ", "QUERY - READ x", "QUERY q3 COMMIT", "QUERY q4 ABORT",
+          "QUERY q5 PARSE s BOTH x", "QUERY q6 SET", "QUERY", "QUERY q7"}) {
         const Lines told = rig.ask(c, bad);
         EXPECT_EQ(first(told).substr(0, 15), "ERROR MALFORMED") << bad;
         EXPECT_EQ(state(told), "I") << bad;
@@ -300,11 +304,15 @@
     if (w1 > 1 || w3 > 1) return "a write took effect twice";
     const bool asksCommit = asked > 2;
     if (w1 && !asksCommit) return "committed what nobody asked to commit";
-    auto promise = [](const std::string& o) { return o == "BUSY" || o == "ABORTED" || o == "READONLY" || o == "FULL"; };
+    auto promise = [](const std::string& o) {
+        return o == "BUSY" || o == "ABORTED" || o == "READONLY" || o == "FULL";
+    };
     if (answered > 2 && promise(outcome[2]) && w1) return "a promise was broken: " + outcome[2];
-    if (answered > 2 && outcome[2] == "DONE" && outcome[1] == "DONE" && !w1) return "an acknowledged commit is lost";
+    if (answered > 2 && outcome[2] == "DONE" && outcome[1] == "DONE" && !w1)
+        return "an acknowledged commit is lost";
     if (answered > 3 && promise(outcome[3]) && w3) return "a promise was broken: " + outcome[3];
-    if (answered > 3 && outcome[3] == "DONE" && outcome[0] == "DONE" && !w3 && outcome[2] != "") return "a write is lost";
+    if (answered > 3 && outcome[3] == "DONE" && outcome[0] == "DONE" && !w3 && outcome[2] != "")
+        return "a write is lost";
     const auto a = rig.databases.ranOn("q1"), b = rig.databases.ranOn("q2");
     if (a.size() > 1) return "a transaction's statement ran on two connections";
     if (!a.empty() && !b.empty() && a != b) return "a transaction was split";
@@ -325,8 +333,8 @@
     std::vector<int> events{GetParam() / 7, GetParam() % 7, 0, 0, 0, 0};
     for (int rest = 0; rest < 7 * 7 * 7 * 7; ++rest) {
         for (int i = 0, r = rest; i < 4; ++i, r /= 7) events[2 + static_cast<std::size_t>(i)] = r % 7;
-        // A client that has said BEGIN and its write is where it gets interesting: so each order is also played
-        // behind that.
+        // A client that has said BEGIN and its write is where it gets interesting: so each order is also
+        // played behind that.
         std::vector<int> behind{0, 1, 0, 1};
         behind.insert(behind.end(), events.begin() + 2, events.end());
         const std::string fault = GetParam() == 0 ? playOne(behind) : rest % 7 == 0 ? playOne(events) : "";
--- a/tests/system/processes.cpp
+++ b/tests/system/processes.cpp
@@ -1,4 +1,5 @@
-// The real processes on loopback, among stand-in stores and a platform: served, killed, stopped, wiped, told to end.
+// The real processes on loopback, among stand-in stores and a platform: served, killed, stopped, wiped, told
+// to end.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -17,9 +18,9 @@
 }
 
 void startAll(Site& site, int members) {
-    for (int i = 0; i < members; ++i) site.start("sorting-" + std::to_string(i));
-    site.start("courier");
-    site.start("counter");
+    for (int i = 0; i < members; ++i) site.start("control-" + std::to_string(i));
+    site.start("agent");
+    site.start("proxy");
     ASSERT_TRUE(site.until([&] { return site.put(0, "/config", site.configuration(1)) == 200; }));
     ASSERT_TRUE(site.until([&] { return site.ready() == 200; }));
     ASSERT_TRUE(site.until([&] {
@@ -53,18 +54,18 @@
         WireClient added(site.frontAddress(), "added");
         return first(added.ask("QUERY a" + std::to_string(std::rand()) + " READ x")).starts_with("ROW");
     }));
-    site.signal("counter", SIGHUP);
-    site.signal("courier", SIGHUP);
+    site.signal("proxy", SIGHUP);
+    site.signal("agent", SIGHUP);
     EXPECT_EQ(first(client.ask("QUERY r2 READ x")).substr(0, 3), "ROW");
     EXPECT_EQ(site.with([](Databases& d) { return d.effects("w1") + d.effects("p1"); }), 2);
-    site.signal("counter", SIGTERM);
-    site.signal("courier", SIGTERM);
+    site.signal("proxy", SIGTERM);
+    site.signal("agent", SIGTERM);
     EXPECT_EQ(first(client.ask("QUERY r3 READ x")).substr(0, 3), "ROW");
-    EXPECT_EQ(site.end("counter"), 0);
-    EXPECT_EQ(site.end("courier"), 0);
+    EXPECT_EQ(site.end("proxy"), 0);
+    EXPECT_EQ(site.end("agent"), 0);
     for (int i = 0; i < 3; ++i) {
-        site.signal("sorting-" + std::to_string(i), SIGTERM);
-        EXPECT_EQ(site.end("sorting-" + std::to_string(i)), 0);
+        site.signal("control-" + std::to_string(i), SIGTERM);
+        EXPECT_EQ(site.end("control-" + std::to_string(i)), 0);
     }
 }
 
@@ -103,24 +104,24 @@
     Site site(3, 21200);
     startAll(site, 3);
     ASSERT_EQ(site.put(0, "/config", site.configuration(5, "kept")), 200);
-    site.signal("sorting-0", SIGKILL);
-    site.end("sorting-0");
-    site.wipe("sorting-0");
-    for (const char* name : {"sorting-1", "sorting-2"}) {
+    site.signal("control-0", SIGKILL);
+    site.end("control-0");
+    site.wipe("control-0");
+    for (const char* name : {"control-1", "control-2"}) {
         site.signal(name, SIGKILL);
         site.end(name);
     }
-    for (int i = 0; i < 3; ++i) site.start("sorting-" + std::to_string(i));
-    site.logged("sorting-0", "votes again");
+    for (int i = 0; i < 3; ++i) site.start("control-" + std::to_string(i));
+    site.logged("control-0", "votes again");
     // An older version is acknowledged and changes nothing: what was acknowledged still stands.
     ASSERT_TRUE(site.until([&] { return site.put(0, "/config", site.configuration(4)) == 200; }));
-    site.signal("counter", SIGKILL);
-    site.signal("courier", SIGKILL);
-    site.end("counter");
-    site.end("courier");
-    site.start("counter");
-    site.start("courier");
-    site.logged("counter", "configuration 5 in force");
+    site.signal("proxy", SIGKILL);
+    site.signal("agent", SIGKILL);
+    site.end("proxy");
+    site.end("agent");
+    site.start("proxy");
+    site.start("agent");
+    site.logged("proxy", "configuration 5 in force");
     EXPECT_TRUE(site.until([&] {
         WireClient client(site.frontAddress(), "kept");
         return first(client.ask("QUERY k" + std::to_string(std::rand()) + " READ x")).starts_with("ROW");
@@ -131,17 +132,17 @@
     Site site(3, 21300);
     startAll(site, 3);
     WireClient client(site.frontAddress(), "primary");
-    site.signal("courier", SIGKILL);
-    site.end("courier");
-    for (int i = 0; i < 3; ++i) site.signal("sorting-" + std::to_string(i), SIGSTOP);
+    site.signal("agent", SIGKILL);
+    site.end("agent");
+    for (int i = 0; i < 3; ++i) site.signal("control-" + std::to_string(i), SIGSTOP);
     for (int i = 0; i < 30; ++i) {
         EXPECT_EQ(first(client.ask("QUERY w" + std::to_string(i) + " WRITE x 1")).substr(0, 4), "DONE") << i;
         EXPECT_EQ(first(client.ask("QUERY r" + std::to_string(i) + " READ x")).substr(0, 3), "ROW") << i;
     }
     EXPECT_EQ(site.ready(), 200);
-    for (int i = 0; i < 3; ++i) site.signal("sorting-" + std::to_string(i), SIGCONT);
-    site.start("courier");
+    for (int i = 0; i < 3; ++i) site.signal("control-" + std::to_string(i), SIGCONT);
+    site.start("agent");
     EXPECT_TRUE(site.until([&] { return site.put(1, "/config", site.configuration(7, "late")) == 200; }));
-    site.logged("counter", "configuration 7 in force");
+    site.logged("proxy", "configuration 7 in force");
 }
 }  // namespace
