Ballots carry the proposer's life; lease, recovery and unsettled leads in modules

Need: a proposer that was killed used a ballot of its earlier life for another value, which acceptors took: two values of one register were read by turns. Beside it the voting part of ControlMember had three more faults: answers of two epochs made one lease; a voter that restarted told no unsettled leads; an empty disk counted dumps of any epoch and decided by the first epoch that it heard whether it must read the state at all. Change: Ballot {round, ProposerId {member, incarnation, life}}; the life is raised and synced before a member starts. Slots of the earlier format are read. Typed VoteRequest and VoteReply; an acceptor refuses another value under a ballot it has accepted. A slot read by a recovery is marked so and is no evidence of a majority. A proposer counts nothing behind its deadline, asks only over a living link and only once, and sends a whole value again only to who lacks its base.

--- /dev/null
+++ b/src/control/lease.cpp
@@ -0,0 +1,53 @@
+#include "control/lease.hpp"
+
+#include <algorithm>
+
+namespace granitereel::control {
+
+namespace {
+// Rounds that answers are still awaited for; older ones could extend nothing.
+constexpr std::size_t roundsKept = 8;
+}  // namespace
+
+Json LeaseQuestion::toJson() const {
+    return {{"k", "round"}, {"round", round}, {"epoch", epoch}};
+}
+
+LeaseQuestion LeaseQuestion::fromJson(const Json& message) {
+    return {message.at("round"), message.at("epoch")};
+}
+
+Json LeaseAnswer::toJson() const {
+    Json marks = Json::object();
+    for (const auto& [service, sequence] : unsettled) marks[service] = sequence;
+    return {{"k", "roundok"}, {"round", round}, {"epoch", epoch}, {"unsettled", std::move(marks)}};
+}
+
+LeaseAnswer LeaseAnswer::fromJson(const Json& message) {
+    return {message.at("round"), message.at("epoch"), message.at("unsettled").get<LeadMarks>()};
+}
+
+LeaseQuestion LeaseRounds::begin(const Core& core, const std::string& ownVote, Nanos now) {
+    Round& round = rounds_[++last_];
+    round.epoch = core.epoch;
+    round.sentAt = now;
+    if (rounds_.size() > roundsKept) rounds_.erase(rounds_.begin());
+    if (!ownVote.empty()) count(round, ownVote, core);
+    return {last_, core.epoch};
+}
+
+void LeaseRounds::answered(const std::string& voter, const LeaseAnswer& answer, const Core& core) {
+    const auto found = rounds_.find(answer.round);
+    if (found == rounds_.end()) return;
+    // Answers of two epochs are no majority of either.
+    if (answer.epoch != core.epoch || found->second.epoch != core.epoch) return;
+    count(found->second, voter, core);
+}
+
+void LeaseRounds::count(Round& round, const std::string& voter, const Core& core) {
+    if (!core.voters.count(voter)) return;
+    round.voters.insert(voter);
+    if (round.voters.size() >= core.majority()) until_ = std::max(until_, round.sentAt + leaseTime);
+}
+
+}  // namespace granitereel::control
--- /dev/null
+++ b/src/control/lease.hpp
@@ -0,0 +1,56 @@
+// The lease of a member: for how long it may tell others which leads stand. It is had from a majority of the
+// voters of one epoch, each of which answers a round's question with the leads that may be about to change.
+// Free of I/O; times are of this member's steady clock.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "control/vote.hpp"
+#include "nanos.hpp"
+
+namespace granitereel::control {
+
+// Services whose lead may change or has changed, each with the sequence number of that change.
+using LeadMarks = std::map<std::string, std::uint64_t>;
+
+struct LeaseQuestion {
+    std::uint64_t round = 0, epoch = 0;
+    Json toJson() const;
+    static LeaseQuestion fromJson(const Json& message);  // throws nlohmann::json::exception
+};
+
+struct LeaseAnswer {
+    std::uint64_t round = 0, epoch = 0;
+    LeadMarks unsettled;
+    Json toJson() const;
+    static LeaseAnswer fromJson(const Json& message);  // throws nlohmann::json::exception
+};
+
+class LeaseRounds {
+public:
+    // How long what was told of leads may be believed, counted from when the question for it was sent.
+    static constexpr Nanos leaseTime = millis(700);
+
+    // Begins a round in this epoch. `ownVote`: the voter that this member is, or empty.
+    LeaseQuestion begin(const Core& core, const std::string& ownVote, Nanos now);
+    // Counts only where round, answer and this member's present epoch are one.
+    void answered(const std::string& voter, const LeaseAnswer& answer, const Core& core);
+    Nanos until() const { return until_; }
+
+private:
+    struct Round {
+        std::uint64_t epoch = 0;
+        Nanos sentAt = 0;
+        std::set<std::string> voters;
+    };
+    void count(Round& round, const std::string& voter, const Core& core);
+
+    std::map<std::uint64_t, Round> rounds_;
+    std::uint64_t last_ = 0;
+    Nanos until_ = 0;
+};
+
+}  // namespace granitereel::control
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -29,6 +29,12 @@
     const std::string both = member + '\n' + name;
     return XXH64(both.data(), both.size(), 0);
 }
+
+ProposerId proposerOf(const settings::Settings& settings, const std::string& incarnation,
+                      const std::map<std::string, Json>& disk) {
+    const auto life = disk.find(lifeKey);
+    return {settings.controlAddress, incarnation, life == disk.end() ? 0 : life->second.get<std::uint64_t>()};
+}
 }  // namespace
 
 ControlMember::ControlMember(const settings::Settings& settings, std::string incarnation,
@@ -38,7 +44,9 @@
       incarnation_(std::move(incarnation)),
       gossip_([this](int link, Json message) { send(link, std::move(message)); },
               [this](const std::string& name, const board::Record& record) { news(name, record); }),
-      proposer_(self_, [this](const std::string& name) -> const Slot& { return acceptor_.at(name); }),
+      proposer_(proposerOf(settings, incarnation_, disk),
+                [this](const std::string& name) -> const Slot& { return acceptor_.at(name); }),
+      recovery_(now + forgottenAfter),
       startedAt_(now) {
     now_ = now;
     for (const auto& [name, body] : disk) {
@@ -46,7 +54,10 @@
             core_ = {body.at("epoch").get<std::uint64_t>(), body.at("voters").get<std::set<std::string>>()};
             recovering_ = body.value("recovering", false);
         }
-        if (name.starts_with("slot/")) acceptor_.load(name.substr(5), readSlot(body));
+        if (name.starts_with("slot/")) {
+            acceptor_.load(name.substr(5), readSlot(body));
+            unsettledLeads_.holds(name.substr(5), acceptor_.at(name.substr(5)).value);
+        }
     }
     if (core_.epoch) {
         proposer_.core(core_, now);
@@ -56,9 +67,9 @@
             ToLog{"founding the core with " + std::to_string(settings_.seeds.size()) + " voters"});
         adopt({1, {settings_.seeds.begin(), settings_.seeds.end()}});
     } else {
+        recovering_ = true;
         outputs_.push_back(ToLog{"no state on disk: asking the core for it"});
     }
-    recovery_.notBefore = now + forgottenAfter;
 }
 
 // Of two cores the later epoch holds, from the disk's sync on.
@@ -66,6 +77,7 @@
     if (core.epoch <= core_.epoch) return;
     core_ = std::move(core);
     reform_.reset();
+    recovery_.epochChanged();
     outputs_.push_back(
         ToDisk{"core", {{"epoch", core_.epoch}, {"voters", core_.voters}, {"recovering", recovering_}}});
     proposer_.core(core_, now_);
@@ -101,16 +113,15 @@
 void ControlMember::linkDown(int link, Nanos now) {
     const auto at = peers_.find(link);
     if (at == peers_.end()) return;
-    if (!at->second.dialled.empty()) memberHeard_[at->second.dialled] = now;
+    const std::string dialled = at->second.dialled;
     peers_.erase(at);
     gossip_.leave(link);
+    if (dialled.empty()) return;
+    memberHeard_[dialled] = now;
+    if (!linkTo(dialled)) proposer_.lost(dialled);
 }
 
 void ControlMember::news(const std::string& name, const board::Record& record) {
-    if (name.starts_with("lead/")) {
-        const auto at = unsettledLeads_.find(name.substr(5));
-        if (at != unsettledLeads_.end() && record.version.major >= at->second) unsettledLeads_.erase(at);
-    }
     if (name == "config") configuration_ = configuration::read(record.body);
     if (name == "core")
         adopt({record.body.at("epoch").get<std::uint64_t>(),
@@ -165,7 +176,7 @@
         if (peer.kind == "member") {
             std::string& known = incarnations_[peer.member];
             const std::string told = message.at("incarnation");
-            if (!known.empty() && known != told) proposer_.forgets(peer.member);
+            if (!known.empty() && known != told) proposer_.forgets(peer.member, now);
             known = told;
         }
         if (peer.dialled.empty()) {
@@ -180,115 +191,131 @@
             gossip_.join(link);
         } else if (const std::uint64_t epoch = message.value("epoch", std::uint64_t(0));
                    epoch > core_.epoch) {
-            Core core{epoch, message.at("voters").get<std::set<std::string>>()};
-            if (!core_.epoch) {
-                recovering_ = core.voters.count(self_) > 0;
-                outputs_.push_back(ToLog{recovering_
-                                             ? "the disk was lost: reading the core's state before voting"
-                                             : "joined the core without a vote"});
-            }
-            adopt(std::move(core));
+            adopt({epoch, message.at("voters").get<std::set<std::string>>()});
         }
     } else if (kind == "news" || kind == "whole?") {
         gossip_.heard(link, message);
-    } else if (kind == "prepare" || kind == "accept") {
+    } else if (isVoteRequest(kind)) {
         vote(link, message);
-    } else if (kind == "promised" || kind == "accepted" || kind == "refused") {
+    } else if (isVoteReply(kind)) {
         proposer_.heard(peer.dialled, message, now);
     } else if (kind == "stale") {
         adopt({message.at("e").get<std::uint64_t>(), message.at("c").get<std::set<std::string>>()});
     } else if (kind == "round") {
-        if (votes() && message.at("e") == core_.epoch)
-            send(link, {{"k", "roundok"}, {"t", message.at("t")}, {"c", unsettledLeads()}});
+        const LeaseQuestion question = LeaseQuestion::fromJson(message);
+        if (votes() && question.epoch == core_.epoch)
+            send(link, LeaseAnswer{question.round, question.epoch, unsettledLeads_.own(board())}.toJson());
     } else if (kind == "roundok") {
-        const auto at = roundsOut_.find(message.at("t").get<std::uint64_t>());
-        for (const auto& [service, seq] : message.at("c").items())
-            markUnsettled(service, seq.get<std::uint64_t>());
-        if (at == roundsOut_.end() || !core_.voters.count(peer.dialled)) return;
-        auto& [sent, from] = at->second;
-        from.insert(peer.dialled);
-        if (from.size() >= core_.majority()) leaseUntil_ = std::max(leaseUntil_, sent + leaseTime);
+        const LeaseAnswer told = LeaseAnswer::fromJson(message);
+        unsettledLeads_.told(told.unsettled, now);
+        lease_.answered(peer.dialled, told, core_);
     } else if (kind == "lease?") {
-        const Nanos left = leaseUntil_ - now;
+        const Nanos left = lease_.until() - now;
         send(link, {{"k", "lease"},
                     {"t", message.at("t")},
                     {"left", std::max<Nanos>(0, left / 1000)},
-                    {"c", unsettledLeads()}});
+                    {"c", Json(unsettledLeads_.all(board(), now))}});
     } else if (kind == "suspect") {
         suspected(message, now);
     } else if (kind == "dump?") {
-        if (message.contains("c"))
-            adopt({message.at("e").get<std::uint64_t>(), message["c"].get<std::set<std::string>>()});
-        if (!votes()) return;
-        Json slots = Json::object();
-        for (const auto& [name, slot] : acceptor_.all()) slots[name] = written(slot);
-        send(link, {{"k", "dump"}, {"e", core_.epoch}, {"slots", std::move(slots)}});
-    } else if (kind == "dump" && reform_ && !recovering_) {
-        if (message.at("e") != core_.epoch || !core_.voters.count(peer.dialled)) return;
-        reform_->heard.insert(peer.dialled);
+        stateAsked(link, message);
+    } else if (kind == "dump") {
+        stateTold(peer.dialled, message);
+    }
+}
+
+// Another member reads what this one's disk holds: before a change of voters, or after the loss of its own.
+void ControlMember::stateAsked(int link, const Json& message) {
+    const std::uint64_t epoch = message.at("e");
+    adopt({epoch, message.at("c").get<std::set<std::string>>()});
+    if (epoch < core_.epoch) return send(link, {{"k", "stale"}, {"e", core_.epoch}, {"c", core_.voters}});
+    if (!votes()) return;
+    const std::string only = message.value("only", "");  // one register; empty: all
+    Json slots = Json::object();
+    for (const auto& [name, slot] : acceptor_.all())
+        if (only.empty() || name == only) slots[name] = written(slot);
+    send(link, {{"k", "dump"}, {"e", core_.epoch}, {"slots", std::move(slots)}});
+}
+
+void ControlMember::stateTold(const std::string& voter, const Json& message) {
+    const std::uint64_t epoch = message.at("e");
+    if (epoch != core_.epoch || !core_.voters.count(voter)) return;
+    if (reform_ && !recovering_) {
+        reform_->heard.insert(voter);
         for (const auto& [name, slot] : message.at("slots").items()) reform_->names.insert(name);
-    } else if (kind == "dump" && recovering_) {
-        for (const auto& [name, slot] : message.at("slots").items())
-            if (acceptor_.merge(name, readSlot(slot)))
-                outputs_.push_back(ToDisk{"slot/" + name, written(acceptor_.at(name))});
-        recovery_.from.insert(peer.dialled);
-        if (recovery_.from.size() >= core_.majority() && now >= recovery_.notBefore) {
-            recovering_ = false;
-            outputs_.push_back(ToDisk{"core", {{"epoch", core_.epoch}, {"voters", core_.voters}}});
-            outputs_.push_back(ToLog{"the core's state is read; votes again"});
-        }
     }
+    if (!recovering_) return;
+    for (const auto& [name, slot] : message.at("slots").items()) {
+        if (!acceptor_.merge(name, readSlot(slot))) continue;
+        outputs_.push_back(ToDisk{"slot/" + name, written(acceptor_.at(name))});
+        unsettledLeads_.holds(name, acceptor_.at(name).value);
+    }
+    recovery_.answered(core_, self_, voter, epoch);
+    if (!recovery_.complete(core_, newestEpochSeen())) return;
+    recovering_ = false;
+    outputs_.push_back(ToDisk{"core", {{"epoch", core_.epoch}, {"voters", core_.voters}}});
+    outputs_.push_back(
+        ToLog{votes() ? "the core's state is read; votes again" : "joined the core without a vote"});
+}
+
+// The highest epoch that the register of the core was accepted with, as far as this disk tells.
+std::uint64_t ControlMember::newestEpochSeen() {
+    const Json& core = acceptor_.at("core").value;
+    return core.is_object() ? core.at("epoch").get<std::uint64_t>() : 0;
+}
+
+// Asks the voters for what they hold. Where this member has no vote, only whether the epoch still stands is
+// of interest.
+void ControlMember::recover(Nanos now) {
+    if (!recovering_ || !recovery_.askNow(core_, self_, now)) return;
+    if (newestEpochSeen() > core_.epoch) settleCore(now);
+    Json question = {{"k", "dump?"}, {"e", core_.epoch}, {"c", core_.voters}};
+    if (!core_.voters.count(self_)) question["only"] = "core";
+    for (const std::string& voter : core_.voters)
+        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, question);
+}
+
+// A later epoch was accepted by some voter: it is found out whether it was chosen, and is so held by a
+// majority.
+void ControlMember::settleCore(Nanos now) {
+    proposer_.begin({"core", [](const Json& was) { return was; },
+                     [this](std::optional<Json> stands) {
+                         if (stands) learn("core", *stands);
+                     },
+                     true},
+                    now, now + changeWithin);
 }
 
 void ControlMember::vote(int link, const Json& message) {
+    const VoteRequest request = VoteRequest::fromJson(message);
+    adopt(request.core);
     // An earlier epoch's majority may lack what was accepted since: its proposer is told the present one.
-    const std::uint64_t epoch = message.at("e");
-    if (epoch > core_.epoch) adopt({epoch, message.at("c").get<std::set<std::string>>()});
-    if (!votes()) return;
-    if (epoch < core_.epoch) {
+    if (request.core.epoch < core_.epoch) {
         if (link) send(link, {{"k", "stale"}, {"e", core_.epoch}, {"c", core_.voters}});
         return;
     }
-    const std::string name = message.at("n");
-    const Ballot ballot{message.at("r"), message.at("b")};
-    Json reply{{"n", name}, {"t", message.at("t")}};
-    bool taken;
-    const bool accepting = message.at("k") == "accept";
-    const Slot before = acceptor_.at(name);
-    if (accepting) {
-        Json value = message.value("v", Json());
-        if (message.contains("p")) {
-            if (before.accepted != Ballot{message.at("pr"), message.at("pb")})
-                return;  // asked again, it gets the whole
-            value = before.value.patch(message["p"]);
-        }
-        taken = acceptor_.accept(name, ballot, value);
-        if (taken && name.starts_with("lead/")) markUnsettled(name.substr(5), value.at("seq"));
-        if (taken && !said(name, value)) unannounced_.try_emplace(name, now_);
-    } else {
-        taken = acceptor_.promise(name, ballot);
-    }
-    const Slot& slot = acceptor_.at(name);
-    if (taken) {
-        if (slot.promised != before.promised || accepting)
-            outputs_.push_back(ToDisk{"slot/" + name, written(slot)});
-        reply["k"] = accepting ? "accepted" : "promised";
-        reply["r"] = ballot.round;
-        reply["b"] = ballot.by;
-        reply["ar"] = slot.accepted.round;
-        reply["ab"] = slot.accepted.by;
-        const bool known =
-            !accepting && slot.accepted.round == message.at("hr") && slot.accepted.by == message.at("hb");
-        if (!accepting && !known) reply["av"] = slot.value;
-    } else {
-        reply["k"] = "refused";
-        reply["r"] = slot.promised.round;
-        reply["b"] = slot.promised.by;
+    VoteReply reply{VoteKind::abstains, request.attempt, request.ballot, {}, false, {}};
+    if (votes()) {
+        const Acceptor::Outcome outcome = acceptor_.answer(request);
+        reply = outcome.reply;
+        if (outcome.conflict)
+            outputs_.push_back(ToLog{"register " + request.name + ": refused another value under ballot " +
+                                     toJson(request.ballot).dump()});
+        if (outcome.changed)
+            outputs_.push_back(ToDisk{"slot/" + request.name, written(acceptor_.at(request.name))});
+        if (reply.kind == VoteKind::accepted) accepted(request.name);
     }
     if (link != 0)
-        send(link, std::move(reply));
+        send(link, reply.toJson());
     else
-        proposer_.heard(self_, reply, now_);
+        proposer_.heard(self_, reply.toJson(), now_);
+}
+
+// A value was accepted here; whether it is chosen is for a proposer to say.
+void ControlMember::accepted(const std::string& name) {
+    const Json& value = acceptor_.at(name).value;
+    unsettledLeads_.holds(name, value);
+    if (!value.is_null() && !said(name, value)) unannounced_.try_emplace(name, now_);
 }
 
 // What proposers of this member say goes to its own vote directly.
@@ -303,29 +330,12 @@
         }
 }
 
-void ControlMember::markUnsettled(const std::string& service, std::uint64_t seq) {
-    const board::Record* record = board().find("lead/" + service);
-    if (record && record->version.major >= seq) return;
-    std::uint64_t& known = unsettledLeads_[service];
-    known = std::max(known, seq);
-}
-
-Json ControlMember::unsettledLeads() const {
-    return Json(unsettledLeads_).is_null() ? Json::object() : Json(unsettledLeads_);
-}
-
 void ControlMember::rounds(Nanos now) {
     if (!core_.epoch || now - roundAt_ < roundEvery) return;
     roundAt_ = now;
-    const std::uint64_t no = ++round_;
-    roundsOut_.erase(roundsOut_.begin(), roundsOut_.lower_bound(no > 8 ? no - 8 : 0));
-    auto& out = roundsOut_[no];
-    out.first = now;
-    if (votes()) out.second.insert(self_);
-    if (out.second.size() >= core_.majority()) leaseUntil_ = std::max(leaseUntil_, now + leaseTime);
+    const LeaseQuestion question = lease_.begin(core_, votes() ? self_ : "", now);
     for (const std::string& voter : core_.voters)
-        if (const int link = voter == self_ ? 0 : linkTo(voter))
-            send(link, {{"k", "round"}, {"t", no}, {"e", core_.epoch}});
+        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, question.toJson());
 }
 
 std::uint64_t ControlMember::nextAsk(Succession& asker) {
@@ -480,13 +490,13 @@
         if (voter == self_ || linkTo(voter) || (at != memberHeard_.end() && now - at->second < awayAfter))
             here.push_back(voter);
     }
-    const bool majority = here.size() >= core_.majority() && now < leaseUntil_;
+    const bool majority = here.size() >= core_.majority() && now < lease_.until();
     board().under("store/", [&](const std::string&, const board::Record& record) {
         if (!record.body.is_object()) return;
         auto& slot = successions_[record.body.at("service").get<std::string>()];
         if (!slot)
-            slot = std::make_unique<Succession>(self_, record.body.at("service"), leaseTime + driftOfClocks,
-                                                *this);
+            slot = std::make_unique<Succession>(self_, record.body.at("service"),
+                                                LeaseRounds::leaseTime + driftOfClocks, *this);
     });
     for (const auto& [service, succession] : successions_) {
         const auto best = std::max_element(here.begin(), here.end(), [&, &name = service](auto& a, auto& b) {
@@ -521,6 +531,12 @@
                         now, now + changeWithin);
 }
 
+// A member that comes with an empty disk gets no vote before it has seen that it has none in this epoch.
+bool ControlMember::recovers(const std::string& member) const {
+    const board::Record* record = board().find("member/" + member);
+    return record && record->body.is_object() && record->body.value("recovering", false);
+}
+
 bool ControlMember::here(const std::string& member) const {
     if (member == self_) return true;
     for (const auto& [link, peer] : peers_)
@@ -565,7 +581,7 @@
     }
     std::set<std::string> present, away;
     for (const auto& [link, peer] : peers_)
-        if (!peer.member.empty()) present.insert(peer.member);
+        if (!peer.member.empty() && !recovers(peer.member)) present.insert(peer.member);
     for (const std::string& voter : core_.voters) {
         if (here(voter))
             voterAway_.erase(voter);
@@ -614,16 +630,13 @@
 
 void ControlMember::tick(Nanos now) {
     now_ = now;
-    gossip_.own("member/" + self_,
-                {{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}});
+    Json own = {{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}};
+    if (recovering_) own["recovering"] = true;
+    gossip_.own("member/" + self_, own);
     rounds(now);
     proposer_.tick(now);
     for (std::string& text : proposer_.takeFailures()) outputs_.push_back(ToLog{std::move(text)});
-    if (recovering_ && now - recovery_.askedAt >= millis(300)) {
-        recovery_.askedAt = now;
-        for (const std::string& voter : core_.voters)
-            if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, {{"k", "dump?"}});
-    }
+    recover(now);
     repair(now);
     manage(now);
     ownDuties(now);
@@ -643,7 +656,7 @@
             {"voters", core_.voters},
             {"votes", votes()},
             {"recovering", recovering_},
-            {"lease_left_ms", std::max<Nanos>(0, leaseUntil_ - now) / 1'000'000},
+            {"lease_left_ms", std::max<Nanos>(0, lease_.until() - now) / 1'000'000},
             {"edition", config ? Json(config->version.major) : Json()},
             {"registers", acceptor_.all().size()},
             {"leads", leads}};
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -11,9 +11,12 @@
 
 #include "board/gossip.hpp"
 #include "configuration/configuration.hpp"
+#include "control/lease.hpp"
 #include "control/outputs.hpp"
+#include "control/recovery.hpp"
 #include "control/register.hpp"
 #include "control/succession.hpp"
+#include "control/unsettled_leads.hpp"
 #include "nanos.hpp"
 #include "settings/settings.hpp"
 
@@ -21,7 +24,8 @@
 
 class ControlMember : public Succession::Means {
 public:
-    // `incarnation`: drawn anew when the disk is empty, else as it was. `disk`: what was written, by name.
+    // `incarnation`: drawn anew when the disk is empty, else as it was. `disk`: what was written, by name,
+    // with the life at `lifeKey` raised for this start.
     ControlMember(const settings::Settings& settings, std::string incarnation,
                   const std::map<std::string, Json>& disk, Nanos now);
 
@@ -45,10 +49,6 @@
     struct Peer {
         std::string dialled, member, station, kind;  // kind: "member", "front"; empty: not said yet
     };
-    struct Recovery {
-        std::set<std::string> from;
-        Nanos notBefore = 0, askedAt = 0;
-    };
 
     Outputs& outputs() override { return outputs_; }
     std::uint64_t nextAsk(Succession& asker) override;
@@ -71,7 +71,13 @@
     bool said(const std::string& name, const Json& value) const;
     std::size_t rank() const;
     void vote(int link, const Json& message);
+    void accepted(const std::string& name);
     void flushProposer(Nanos now);
+    void stateAsked(int link, const Json& message);
+    void stateTold(const std::string& voter, const Json& message);
+    void recover(Nanos now);
+    void settleCore(Nanos now);
+    std::uint64_t newestEpochSeen();
     void adopt(Core core);
     void manage(Nanos now);
     void changeCore(Core to, Nanos now);
@@ -80,10 +86,9 @@
     void ownDuties(Nanos now);
     bool votes() const { return core_.voters.count(self_) > 0 && !recovering_; }
     bool here(const std::string& member) const;
+    bool recovers(const std::string& member) const;
     int linkTo(const std::string& member) const;
     void suspected(const Json& message, Nanos now);
-    Json unsettledLeads() const;
-    void markUnsettled(const std::string& service, std::uint64_t seq);
 
     const settings::Settings settings_;
     const std::string self_, incarnation_;
@@ -92,7 +97,7 @@
     Acceptor acceptor_;
     Proposer proposer_;
     Core core_;
-    bool recovering_ = false;
+    bool recovering_ = false;  // the disk was empty, and what others hold is not read yet
     // A change of who votes: the registers of those who answered, which are accepted anew before it.
     struct Reform {
         Core to;
@@ -108,17 +113,13 @@
     std::map<int, Peer> peers_;
     std::map<std::string, std::string> incarnations_;
     std::map<std::string, Nanos> memberHeard_;
-    std::map<std::string, std::uint64_t>
-        unsettledLeads_;  // services whose lead may change: by which change of the lead
+    UnsettledLeads unsettledLeads_;
+    LeaseRounds lease_;
     std::map<std::string, std::unique_ptr<Succession>> successions_;
     std::map<std::uint64_t, Succession*> asks_;
-    std::uint64_t nextAsk_ = 1, round_ = 0;
-    Nanos roundAt_ = 0, leaseUntil_ = 0, startedAt_, readAt_ = 0;
-    std::map<std::uint64_t, std::pair<Nanos, std::set<std::string>>> roundsOut_;
+    std::uint64_t nextAsk_ = 1;
+    Nanos roundAt_ = 0, startedAt_, readAt_ = 0;
     configuration::Configuration configuration_;
 };
 
-// How long what was told of leads may be believed, counted from when the question for it was sent.
-constexpr Nanos leaseTime = millis(700);
-
 }  // namespace granitereel::control
--- a/src/control/program.cpp
+++ b/src/control/program.cpp
@@ -55,6 +55,9 @@
             all["incarnation"] = std::to_string((std::uint64_t(chance()) << 32) | chance());
             disk_.write("incarnation", all["incarnation"]);
         }
+        // Before any ballot of this life: no other life has it.
+        all[lifeKey] = nextLife(all);
+        disk_.write(lifeKey, all[lifeKey]);
         return ControlMember(settings_, all["incarnation"], all, transport::steadyNow());
     }
 
--- /dev/null
+++ b/src/control/recovery.cpp
@@ -0,0 +1,29 @@
+#include "control/recovery.hpp"
+
+namespace granitereel::control {
+
+void Recovery::epochChanged() {
+    answered_.clear();
+    askedAt_ = 0;
+}
+
+bool Recovery::askNow(const Core& core, const std::string& self, Nanos now) {
+    if (core.epoch == 0) return false;
+    if (core.voters.count(self) && now < notBefore_) return false;
+    if (askedAt_ != 0 && now - askedAt_ < askEvery) return false;
+    askedAt_ = now;
+    return true;
+}
+
+void Recovery::answered(const Core& core, const std::string& self, const std::string& voter,
+                        std::uint64_t epoch) {
+    if (askedAt_ == 0 || epoch != core.epoch) return;
+    if (voter == self || !core.voters.count(voter)) return;
+    answered_.insert(voter);
+}
+
+bool Recovery::complete(const Core& core, std::uint64_t newestEpoch) const {
+    return newestEpoch <= core.epoch && answered_.size() >= core.majority();
+}
+
+}  // namespace granitereel::control
--- a/src/control/register.cpp
+++ b/src/control/register.cpp
@@ -6,31 +6,71 @@
 
 namespace granitereel::control {
 
+namespace {
+Slot readEarlierSlot(const Json& text) {
+    const Ballot promised{text.at("pr"), {text.at("pb"), "", 0}};
+    const Ballot accepted{text.at("ar"), {text.at("ab"), "", 0}};
+    return {promised, accepted, text.at("v")};
+}
+}  // namespace
+
 Json written(const Slot& slot) {
-    return {{"pr", slot.promised.round},
-            {"pb", slot.promised.by},
-            {"ar", slot.accepted.round},
-            {"ab", slot.accepted.by},
-            {"v", slot.value}};
+    Json text = {
+        {"promised", toJson(slot.promised)}, {"accepted", toJson(slot.accepted)}, {"value", slot.value}};
+    if (slot.learned) text["learned"] = true;
+    return text;
 }
 
 Slot readSlot(const Json& text) {
-    return {{text.at("pr"), text.at("pb")}, {text.at("ar"), text.at("ab")}, text.at("v")};
+    if (text.contains("pr")) return readEarlierSlot(text);
+    return {ballotFromJson(text.at("promised")), ballotFromJson(text.at("accepted")), text.at("value"),
+            text.value("learned", false)};
 }
 
-bool Acceptor::promise(const std::string& name, const Ballot& ballot) {
-    Slot& slot = slots_[name];
-    if (ballot < slot.promised) return false;
-    slot.promised = ballot;
-    return true;
+Acceptor::Outcome Acceptor::answer(const VoteRequest& request) {
+    Slot& slot = slots_[request.name];
+    Outcome outcome = request.phase == VotePhase::prepare ? promise(slot, request) : accept(slot, request);
+    outcome.reply.attempt = request.attempt;
+    outcome.reply.ballot = outcome.reply.kind == VoteKind::refused ? slot.promised : request.ballot;
+    return outcome;
 }
 
-bool Acceptor::accept(const std::string& name, const Ballot& ballot, const Json& value) {
-    Slot& slot = slots_[name];
-    if (ballot < slot.promised) return false;
-    slot.promised = slot.accepted = ballot;
-    slot.value = value;
-    return true;
+Acceptor::Outcome Acceptor::promise(Slot& slot, const VoteRequest& request) {
+    Outcome outcome;
+    if (request.ballot < slot.promised) {
+        outcome.reply.kind = VoteKind::refused;
+        return outcome;
+    }
+    outcome.changed = slot.promised != request.ballot;
+    slot.promised = request.ballot;
+    outcome.reply.kind = VoteKind::promised;
+    outcome.reply.accepted = slot.accepted;
+    outcome.reply.learned = slot.learned;
+    if (slot.accepted != request.held) outcome.reply.value = slot.value;
+    return outcome;
+}
+
+Acceptor::Outcome Acceptor::accept(Slot& slot, const VoteRequest& request) {
+    Outcome outcome;
+    outcome.reply.kind = VoteKind::refused;
+    if (request.ballot < slot.promised) return outcome;
+    Json value = request.value;
+    if (request.patch && slot.accepted == request.ballot) {
+        value = slot.value;  // taken before; the answer was lost
+    } else if (request.patch && slot.accepted == request.base) {
+        value = slot.value.patch(*request.patch);
+    } else if (request.patch) {
+        outcome.reply.kind = VoteKind::needsWhole;
+        return outcome;
+    }
+    if (slot.accepted == request.ballot && slot.value != value) {
+        outcome.conflict = true;
+        return outcome;
+    }
+    outcome.changed = slot.accepted != request.ballot || slot.learned;
+    slot = {request.ballot, request.ballot, std::move(value), false};
+    outcome.reply.kind = VoteKind::accepted;
+    return outcome;
 }
 
 bool Acceptor::merge(const std::string& name, const Slot& other) {
@@ -40,6 +80,7 @@
     if (slot.accepted < other.accepted) {
         slot.accepted = other.accepted;
         slot.value = other.value;
+        slot.learned = true;
         changed = true;
     }
     return changed;
@@ -54,104 +95,138 @@
 }
 
 void Proposer::prepare(std::uint64_t no, Running& running, Nanos now) {
-    running.ballot = {++highestRound_, self_};
+    // Above what this member's own disk has promised: another life's rounds are not tried again.
+    highestRound_ = std::max(highestRound_, held_(running.change.name).promised.round) + 1;
+    running.ballot = {highestRound_, self_};
     running.best = {};
     running.was = running.value = running.patch = nullptr;
-    running.promised.clear();
     running.accepting = running.paused = false;
     running.answered.clear();
+    running.promisers.clear();
+    running.asked.clear();
+    running.lacksBase.clear();
     askAll(no, running, now);
 }
 
 void Proposer::ask(std::uint64_t no, Running& running, const std::string& voter) {
-    Json message = {{"k", running.accepting ? "accept" : "prepare"},
-                    {"n", running.change.name},
-                    {"r", running.ballot.round},
-                    {"b", running.ballot.by},
-                    {"t", no},
-                    {"e", core_.epoch},
-                    {"c", core_.voters}};
+    if (!linked_.count(voter)) return;  // reached() asks
+    running.asked.insert(voter);
+    VoteRequest request;
+    request.phase = running.accepting ? VotePhase::accept : VotePhase::prepare;
+    request.name = running.change.name;
+    request.attempt = no;
+    request.ballot = running.ballot;
+    request.core = core_;
     if (running.accepting) {
         // Who holds what the value was made from is told what changed, where that is shorter.
-        const auto held = running.promised.find(voter);
-        if (!running.patch.is_null() && held != running.promised.end() && held->second == running.best) {
-            message["p"] = running.patch;
-            message["pr"] = running.best.round;
-            message["pb"] = running.best.by;
-            running.promised.erase(held);  // if it is asked again, the whole
-        } else {
-            message["v"] = running.value;
-        }
+        const auto promiser = running.promisers.find(voter);
+        const bool holdsBase = promiser != running.promisers.end() && promiser->second == running.best;
+        request.base = running.best;
+        if (holdsBase && !running.patch.is_null() && !running.lacksBase.count(voter))
+            request.patch = running.patch;
+        else
+            request.value = running.value;
     } else {
-        const Slot& held = held_(running.change.name);
-        message["hr"] = held.accepted.round;
-        message["hb"] = held.accepted.by;
+        request.held = held_(running.change.name).accepted;
     }
-    said_.push_back({voter, std::move(message)});
+    said_.push_back({voter, request.toJson()});
 }
 
-// The present round's question, to all who have not answered it.
+// The present phase's question, to all who have not answered it and to whom it does not stand.
 void Proposer::askAll(std::uint64_t no, Running& running, Nanos now) {
     running.sentAt = now;
     for (const std::string& voter : core_.voters)
-        if (!running.answered.count(voter)) ask(no, running, voter);
+        if (!running.answered.count(voter) && !running.asked.count(voter)) ask(no, running, voter);
 }
 
 void Proposer::reached(const std::string& voter) {
+    linked_.insert(voter);
     if (!core_.voters.count(voter)) return;
     for (auto& [no, running] : running_)
         if (!running.paused && !running.answered.count(voter)) ask(no, running, voter);
 }
 
+void Proposer::lost(const std::string& voter) {
+    linked_.erase(voter);
+    for (auto& [no, running] : running_) running.asked.erase(voter);
+}
+
 void Proposer::heard(const std::string& from, const Json& answer, Nanos now) {
-    const auto found = running_.find(answer.at("t").get<std::uint64_t>());
-    const Ballot ballot{answer.at("r"), answer.at("b")};
-    const std::string kind = answer.at("k");
+    const VoteReply reply = VoteReply::fromJson(answer);
+    const auto found = running_.find(reply.attempt);
     if (found == running_.end() || !core_.voters.count(from)) return;
+    const std::uint64_t no = found->first;
     Running& running = found->second;
-    if (kind == "refused") {
-        // `r`, `b`: what it has promised; so the next try is above it.
-        highestRound_ = std::max(highestRound_, ballot.round);
-        if (running.paused || ballot <= running.ballot) return;
-        // Two at once: the pause grows with how long a round takes here, and by a part that their names make
-        // differ, so that one of them gets through.
-        running.paused = true;
-        running.clashes = std::min(running.clashes + 1, 6);
-        const Nanos round = std::min(now - running.sentAt, millis(200)) + millis(4);
-        const auto part =
-            static_cast<Nanos>(std::hash<std::string>()(self_ + std::to_string(running.ballot.round)) % 64);
-        running.resumeAt = now + round * running.clashes * (32 + part) / 32;
-        return;
+    if (now >= running.until) return;  // tick() ends it
+    if (reply.kind == VoteKind::refused) return refused(running, reply.ballot, now);
+    if (running.paused || reply.ballot != running.ballot) return;
+    switch (reply.kind) {
+        case VoteKind::promised:
+            if (!running.accepting) promised(no, running, from, reply, now);
+            return;
+        case VoteKind::accepted:
+            if (!running.accepting) return;
+            running.answered[from] = {};
+            return proceed(no, running, now);
+        case VoteKind::needsWhole:
+            if (!running.accepting) return;
+            running.lacksBase.insert(from);
+            return ask(no, running, from);
+        case VoteKind::abstains:
+            running.asked.erase(from);
+            return;
+        case VoteKind::refused:
+            return;
     }
-    if (running.paused || ballot != running.ballot || (kind == "accepted") != running.accepting) return;
-    Ballot held;
-    if (!running.accepting) {
-        held = {answer.at("ar"), answer.at("ab")};
-        if (running.best < held) {
-            // What it does not send is what this member held when it asked.
-            if (!answer.contains("av") && held_(running.change.name).accepted != held)
-                return ask(found->first, running, from);
-            running.was = answer.contains("av") ? answer["av"] : held_(running.change.name).value;
-            running.best = held;
-        }
+}
+
+// The voter has promised another ballot: the next try is above it. (Its own ballot comes back from a voter
+// that has accepted another value under it; a further round mends that.)
+void Proposer::refused(Running& running, const Ballot& promised, Nanos now) {
+    highestRound_ = std::max(highestRound_, promised.round);
+    if (running.paused || promised < running.ballot) return;
+    // Two at once: the pause grows with how long a round takes here, and by a part that their names make
+    // differ, so that one of them gets through.
+    running.paused = true;
+    running.clashes = std::min(running.clashes + 1, 6);
+    const Nanos round = std::min(now - running.sentAt, millis(200)) + millis(4);
+    const std::string chance = self_.member + std::to_string(running.ballot.round);
+    const auto part = static_cast<Nanos>(std::hash<std::string>()(chance) % 64);
+    running.resumeAt = now + round * running.clashes * (32 + part) / 32;
+}
+
+void Proposer::promised(std::uint64_t no, Running& running, const std::string& from, const VoteReply& reply,
+                        Nanos now) {
+    if (running.best < reply.accepted) {
+        const Slot& own = held_(running.change.name);
+        // What it does not send is what this member held when it asked.
+        if (!reply.value && own.accepted != reply.accepted) return ask(no, running, from);
+        running.was = reply.value ? *reply.value : own.value;
+        running.best = reply.accepted;
     }
-    running.answered[from] = held;
-    proceed(found->first, running, now);
+    running.answered[from] = {reply.accepted, reply.learned};
+    proceed(no, running, now);
+}
+
+// What a majority has accepted under one ballot is chosen: nothing need be written to read it.
+bool Proposer::chosenAlready(const Running& running) const {
+    const auto same = std::count_if(running.answered.begin(), running.answered.end(), [&](const auto& each) {
+        return each.second.accepted == running.best && !each.second.learned;
+    });
+    return static_cast<std::size_t>(same) >= core_.majority();
 }
 
 void Proposer::proceed(std::uint64_t no, Running& running, Nanos now) {
-    const std::size_t majority = core_.majority();
-    if (running.answered.size() < majority) return;
+    if (running.answered.size() < core_.majority()) return;
     if (running.accepting) return end(no, running.value);
     Json value = running.change.change(running.was);
-    // What a majority holds under one ballot is chosen already: nothing need be written to read it.
-    const auto same = std::count_if(running.answered.begin(), running.answered.end(),
-                                    [&](const auto& each) { return each.second == running.best; });
-    if (!running.change.anew && value == running.was && static_cast<std::size_t>(same) >= majority)
+    if (!running.change.anew && value == running.was && chosenAlready(running))
         return end(no, std::move(value));
     running.value = std::move(value);
     running.accepting = true;
-    running.promised = std::exchange(running.answered, {});
+    for (const auto& [voter, answer] : running.answered) running.promisers[voter] = answer.accepted;
+    running.answered.clear();
+    running.asked.clear();
     running.patch = board::shorter(running.was, running.value);
     askAll(no, running, now);
 }
@@ -162,8 +237,15 @@
     for (auto& [no, running] : running_) prepare(no, running, now);
 }
 
-void Proposer::forgets(const std::string& voter) {
-    for (auto& [no, running] : running_) running.answered.erase(voter);
+void Proposer::forgets(const std::string& voter, Nanos now) {
+    for (auto& [no, running] : running_) {
+        if (running.paused) continue;
+        // A promise that its disk has forgotten binds nobody: the ballot is given up.
+        if (running.promisers.count(voter))
+            prepare(no, running, now);
+        else if (running.answered.erase(voter))
+            ask(no, running, voter);
+    }
 }
 
 void Proposer::tick(Nanos now) {
--- a/src/control/register.hpp
+++ b/src/control/register.hpp
@@ -5,7 +5,6 @@
 // chance.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,49 +14,46 @@
 #include <string>
 #include <vector>
 
+#include "control/vote.hpp"
 #include "nanos.hpp"
 
 namespace granitereel::control {
 
-using Json = nlohmann::json;
-
-struct Ballot {
-    std::uint64_t round = 0;
-    std::string by;  // a member; breaks ties
-    auto operator<=>(const Ballot&) const = default;
-};
-
-// Who votes, and since which change of that. A change adds or takes away one voter, so that majorities of an
-// epoch and of the next have a member in common; before a further one all registers are accepted anew
-// (ControlMember::manage).
-struct Core {
-    std::uint64_t epoch = 0;  // 0: not known
-    std::set<std::string> voters;
-    std::size_t majority() const { return voters.size() / 2 + 1; }
-};
-
 // What a member's disk holds of a register.
 struct Slot {
     Ballot promised, accepted;
     Json value;  // null: never written
+    // `accepted` was read from other voters' disks by a recovery: no vote of this disk stands behind it, so
+    // it is no evidence that a majority has accepted.
+    bool learned = false;
 };
 
 Json written(const Slot& slot);
-Slot readSlot(const Json& text);  // throws nlohmann::json::exception
+// Reads what `written` made, and slots of the earlier format, whose ballots carry no life. Throws
+// nlohmann::json::exception.
+Slot readSlot(const Json& text);
 
-// A member's part in promising and accepting. What it answers must not leave before the slot is on disk.
+// A voter's part in promising and accepting. What it answers must not leave before the slot is on disk.
 class Acceptor {
 public:
+    struct Outcome {
+        VoteReply reply;
+        bool changed = false;   // the slot is to be written
+        bool conflict = false;  // another value came under a ballot accepted here: a proposer's fault
+    };
+
     void load(const std::string& name, Slot slot) { slots_[name] = std::move(slot); }
-    // Whether it promised to take nothing of a lower ballot.
-    bool promise(const std::string& name, const Ballot& ballot);
-    bool accept(const std::string& name, const Ballot& ballot, const Json& value);
+    // The request's epoch is not looked at.
+    Outcome answer(const VoteRequest& request);
     const Slot& at(const std::string& name) { return slots_[name]; }
     const std::map<std::string, Slot>& all() const { return slots_; }
-    // Takes over what another member holds, where that is more; says whether anything changed.
+    // Takes over what another voter holds, where that is more; says whether anything changed.
     bool merge(const std::string& name, const Slot& other);
 
 private:
+    Outcome promise(Slot& slot, const VoteRequest& request);
+    Outcome accept(Slot& slot, const VoteRequest& request);
+
     std::map<std::string, Slot> slots_;
 };
 
@@ -77,53 +73,66 @@
 public:
     struct Said {
         std::string to;
-        // {"k": "prepare" | "accept", "n", "r", "b", "t", "e": epoch, "c": voters, ("v")}; a question's "hr",
-        // "hb" say which accepted value the asker holds itself, so that it need not be sent.
-        Json message;
+        Json message;  // a VoteRequest
     };
     // `held`: what this member's own acceptor holds of a register.
     using Held = std::function<const Slot&(const std::string& name)>;
-    Proposer(std::string self, Held held) : self_(std::move(self)), held_(std::move(held)) {}
+    Proposer(ProposerId self, Held held)
+        : self_(std::move(self)), held_(std::move(held)), linked_{self_.member} {}
 
     // What is under way begins anew with the voters of a later epoch.
     void core(Core core, Nanos now);
     const Core& core() const { return core_; }
     // A member that has lost its disk answers anew under another incarnation: what it said before counts no
     // more.
-    void forgets(const std::string& voter);
+    void forgets(const std::string& voter, Nanos now);
 
     void begin(Change change, Nanos now, Nanos until);
-    // A link to this voter is there anew: what it has not answered is asked again.
+    // A link to this voter is there anew: what it has not answered is asked again. Nothing is said to a voter
+    // before; of this member itself it need not be told.
     void reached(const std::string& voter);
-    // An answer to a message of ours: {"k": "promised" | "accepted" | "refused", "t", "r", "b", ("ar", "ab",
-    // "av")}.
+    // There is no link to this voter any more.
+    void lost(const std::string& voter);
+    // A VoteReply to a request of this proposer. What comes behind a change's deadline counts no more, also
+    // where this process was frozen and has not ticked since.
     void heard(const std::string& from, const Json& answer, Nanos now);
     void tick(Nanos now);
     std::vector<Said> takeSaid() { return std::exchange(said_, {}); }
     // What the changes that ended without a majority were short of, for the log.
     std::vector<std::string> takeFailures() { return std::exchange(failures_, {}); }
-    // Links carry what is sent or end, so questions are repeated seldom: a voter may have had no vote yet.
+    // Links carry what is sent or end, so only a voter that abstained is asked again, after this.
     static constexpr Nanos again = millis(400);
 
 private:
+    struct Answer {
+        Ballot accepted;
+        bool learned = false;
+    };
     struct Running {
         Change change;
         Nanos until = 0, sentAt = 0, resumeAt = 0;
         Ballot ballot, best;
         Json was, value, patch;
         bool accepting = false, paused = false;
-        std::map<std::string, Ballot> answered, promised;  // with what each had accepted
+        std::map<std::string, Answer> answered;   // in the present phase
+        std::map<std::string, Ballot> promisers;  // while accepting: who promised, with what it had accepted
+        std::set<std::string> asked, lacksBase;   // asked: the phase's question stands on a living link
         int clashes = 0;
     };
     void prepare(std::uint64_t no, Running& running, Nanos now);
     void ask(std::uint64_t no, Running& running, const std::string& voter);
     void askAll(std::uint64_t no, Running& running, Nanos now);
+    void refused(Running& running, const Ballot& promised, Nanos now);
+    void promised(std::uint64_t no, Running& running, const std::string& from, const VoteReply& reply,
+                  Nanos now);
     void proceed(std::uint64_t no, Running& running, Nanos now);
+    bool chosenAlready(const Running& running) const;
     void end(std::uint64_t no, std::optional<Json> value);
 
-    std::string self_;
+    ProposerId self_;
     Held held_;
     Core core_;
+    std::set<std::string> linked_;
     std::map<std::uint64_t, Running> running_;
     std::uint64_t nextNo_ = 1, highestRound_ = 0;
     std::vector<Said> said_;
--- a/standins/control_world.hpp
+++ b/standins/control_world.hpp
@@ -1,5 +1,5 @@
-// Members of control in virtual time: disks that forget, links that delay and cut, processes that die at a
-// write.
+// Members of control in virtual time: disks that forget, links that delay and cut (one way too), processes
+// that die at a write or are frozen.
 #pragma once
 
 #include <algorithm>
@@ -36,11 +36,23 @@
         Json message;
         std::uint64_t epoch;
     };
+    // What waits on one link for a cut to heal (TCP sends again) or for its receiver to wake.
+    struct Stalled {
+        std::vector<Packet> packets;
+        Nanos cutSince = 0;  // 0: not by a cut
+    };
+    // What is not acknowledged for so long ends its link, as the transport has it.
+    static constexpr Nanos linkSilence = millis(1500);
     std::map<std::string, Member> members;
     std::map<int, std::pair<std::string, int>> wires;  // link -> the other end
     std::map<std::string, std::uint64_t> lives;
-    std::set<std::pair<std::string, std::string>> cut;
+    std::set<std::pair<std::string, std::string>> cut;        // both ways
+    std::set<std::pair<std::string, std::string>> cutOneWay;  // what the first sends to the second
+    std::set<std::string> frozen;                             // hears and does nothing; its links stay
+    std::map<std::string, std::size_t> bytesSent;             // by kind of message
     std::vector<Packet> packets;
+    std::map<int, Stalled> stalled;
+    std::vector<int> endsHeard;  // ends of links that are gone, to be told
     std::mt19937 chance;
     Nanos now = millis(1'000'000);
     int lastLink = 0;
@@ -66,6 +78,7 @@
     void start(const std::string& name) {
         Member& m = members[name];
         if (!m.disk.count("incarnation")) m.disk["incarnation"] = std::to_string(++m.incarnation);
+        m.disk[lifeKey] = nextLife(m.disk);
         m.control = std::make_unique<ControlMember>(m.settings, m.disk["incarnation"], m.disk, now);
         ++lives[name];
         carry(name);
@@ -107,7 +120,35 @@
         carry(from);
     }
     bool reach(const std::string& a, const std::string& b) {
-        return !cut.count({a, b}) && !cut.count({b, a});
+        return !cut.count({a, b}) && !cut.count({b, a}) && !cutOneWay.count({a, b});
+    }
+    // Both ends hear of it; what is under way is lost.
+    void breakLink(int link) {
+        stalled.erase(link);
+        const auto wire = wires.find(link);
+        if (wire == wires.end()) return;
+        const int other = wire->second.second;
+        for (const int end : {link, other}) {
+            Member& m = members[ends[end]];
+            wires.erase(end);
+            for (auto& [to, no] : m.dialled)
+                if (no == end) no = 0;
+        }
+        std::erase_if(packets, [&](const Packet& p) { return p.linkTo == link || p.linkTo == other; });
+        stalled.erase(other);
+        for (const int end : {link, other}) endsHeard.push_back(end);
+    }
+    // Those who are frozen hear of the end of a link when they wake.
+    void hearEnds() {
+        for (const int end : std::exchange(endsHeard, {})) {
+            Member& m = members[ends[end]];
+            if (frozen.count(ends[end])) {
+                endsHeard.push_back(end);
+            } else if (m.control) {
+                m.control->linkDown(end, now);
+                carry(ends[end]);
+            }
+        }
     }
     void carry(const std::string& name) {
         Member& m = members[name];
@@ -120,7 +161,7 @@
                 const auto wire = wires.find(out->link);
                 if (wire == wires.end()) continue;
                 const auto& [to, link] = wire->second;
-                if (!reach(name, to)) continue;
+                bytesSent[out->message.value("k", "")] += out->message.dump().size();
                 packets.push_back(
                     {now + millis(1) + Nanos(chance() % 3'000'000), name, to, link, out->message, lives[to]});
                 // A link keeps its order.
@@ -131,8 +172,35 @@
             }
         }
     }
+    bool stalls(const Packet& packet) {
+        return stalled.count(packet.linkTo) || frozen.count(packet.to) || !reach(packet.from, packet.to);
+    }
+    void resume() {
+        std::vector<int> broken;
+        for (auto at = stalled.begin(); at != stalled.end();) {
+            auto& [link, stall] = *at;
+            const Packet& first = stall.packets.front();
+            const bool isCut = !reach(first.from, first.to);
+            if (isCut && stall.cutSince == 0) stall.cutSince = now;
+            if (isCut && now - stall.cutSince > linkSilence) broken.push_back(link);
+            if (!isCut) stall.cutSince = 0;
+            if (isCut || frozen.count(first.to)) {
+                ++at;
+                continue;
+            }
+            Nanos behind = now;
+            for (Packet& packet : stall.packets) {
+                packet.at = ++behind;
+                packets.push_back(std::move(packet));
+            }
+            at = stalled.erase(at);
+        }
+        for (const int link : broken) breakLink(link);
+        hearEnds();
+    }
     void step() {
         now += millis(1);
+        resume();
         for (bool any = true; any;) {
             any = false;
             std::size_t best = packets.size();
@@ -144,17 +212,21 @@
             packets.erase(packets.begin() + static_cast<std::ptrdiff_t>(best));
             any = true;
             Member& to = members[p.to];
-            if (!to.control || lives[p.to] != p.epoch || !wires.count(p.linkTo) || !reach(p.from, p.to))
+            if (!to.control || lives[p.to] != p.epoch || !wires.count(p.linkTo)) continue;
+            if (stalls(p)) {
+                stalled[p.linkTo].packets.push_back(p);
                 continue;
+            }
             to.control->heard(p.linkTo, p.message, now);
             carry(p.to);
         }
         if (now / millis(1) % 50) return;
         for (auto& [name, m] : members) {
-            if (!m.control) continue;
+            if (!m.control || frozen.count(name)) continue;
             for (const std::string& to : m.control->toDial()) {
                 const auto other = members.find(to);
-                if (other != members.end() && other->second.control && !m.dialled[to] && reach(name, to))
+                if (other != members.end() && other->second.control && !m.dialled[to] && reach(name, to) &&
+                    reach(to, name) && !frozen.count(to))
                     connect(name, to);
                 if (!m.control) break;
             }
--- a/tests/system/registers.cpp
+++ b/tests/system/registers.cpp
@@ -26,8 +26,9 @@
         for (int i = 0; i < 2; ++i) {
             const std::string self = i == 0 ? "a" : "b";
             proposers.push_back(std::make_unique<Proposer>(
-                self,
+                ProposerId{self, "1", 1},
                 [this, self](const std::string& name) -> const Slot& { return acceptors[self].at(name); }));
+            for (const auto& [voter, acceptor] : acceptors) proposers[i]->reached(voter);
             proposers[i]->core({1, {"a", "b", "c"}}, 1);
             // Both send a body under edition 7: one of them may be taken, and only one.
             proposers[i]->begin({"config",
@@ -47,19 +48,7 @@
         const Message m = under[which];
         under.erase(under.begin() + static_cast<std::ptrdiff_t>(which));
         Acceptor& acceptor = acceptors[m.voter];
-        const Ballot ballot{m.body.at("r"), m.body.at("b")};
-        const bool accept = m.body.at("k") == "accept";
-        Json reply{{"n", "config"}, {"t", m.body.at("t")}};
-        Json value = m.body.value("v", Json());
-        const bool taken =
-            accept ? acceptor.accept("config", ballot, value) : acceptor.promise("config", ballot);
-        const Slot& slot = acceptor.at("config");
-        reply["k"] = !taken ? "refused" : accept ? "accepted" : "promised";
-        reply["r"] = taken ? ballot.round : slot.promised.round;
-        reply["b"] = taken ? ballot.by : slot.promised.by;
-        reply["ar"] = slot.accepted.round;
-        reply["ab"] = slot.accepted.by;
-        reply["av"] = slot.value;
+        const Json reply = acceptor.answer(VoteRequest::fromJson(m.body)).reply.toJson();
         proposers[m.proposer]->heard(m.voter, reply, now);
         proposers[m.proposer]->tick(now + millis(300));  // a pause after a clash is over at the next step
         collect(m.proposer);
@@ -102,7 +91,7 @@
     explore(explore, 5);
     EXPECT_GT(orders, 5'000);
 #else
-    explore(explore, 6);
+    explore(explore, 7);
     EXPECT_GT(orders, 30'000);
     EXPECT_GT(acknowledged, 100);
 #endif
