Promise nothing before it is synced; count what opens uncleanly as a lost disk

Cause: a member wrote its state on the loop and ended where the disk refused (12 exits in 7 s of a full disk); a hanging sync stopped links and leases with it; RepairDB and create_if_missing took a damaged or an empty state for the present one; names of files were not made durable by a sync of their folder.

Change: Disk opens LevelDB through DurableEnv, which syncs the folder after each name that is made, renamed or removed, with paranoid checks and without repair. An identity file beside the state says whose it is: a state that lacks its log or a file, is damaged, or isn't that of its identity is lost, is removed, and the member goes on as another that founds no core. A last write torn by a loss of power is no loss: it was not synced, and is cut off before LevelDB sees it. DiskWriter writes on a thread of its own, one write with one sync for all that waits; DurabilityGate holds the replies of votes, those to itself too (ToSelf), until the writes before them are synced. While the disk refuses or is slow: no vote, no new orders, duties handed on after a bound, "disk" in GET state, one line in the log at the start and one at the end; the state is opened again until it takes bytes, and what waited is written from memory.

--- a/src/control/disk.hpp
+++ b/src/control/disk.hpp
@@ -1,28 +1,84 @@
-// The state of a member on its disk: LevelDB, each write synced before it returns.
+// The state of a member on its disk: LevelDB in the folder "state", and beside it the file "identity", which
+// says whose state that is. The state opens cleanly under its identity or it counts as lost: it is then
+// removed, and the member goes on as another, with an empty disk. docs/control-safety/disk.md has the
+// argument.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
+#include "control/disk_error.hpp"
+#include "control/durable_env.hpp"
+
 namespace leveldb {
 class DB;
 }
 
 namespace granitereel::control {
 
+// Records by name. A later write of a name replaces an earlier one.
+using DiskRecords = std::map<std::string, nlohmann::json>;
+
+// Where the files are: the machine's own, or a stand-in's.
+struct DiskBackend {
+    leveldb::Env* env = nullptr;
+    FolderSync syncFolder;
+};
+DiskBackend machineDisk();
+
 class Disk {
 public:
-    // Opens the state under the folder, which is made if it is missing. Throws std::runtime_error with the
-    // cause.
-    explicit Disk(const std::string& folder);
+    // A name that no earlier life of this or another member has had.
+    using DrawIncarnation = std::function<std::string()>;
+
+    // Opens the state under the folder, which is made if it is missing. Throws DiskError (refuses) where the
+    // disk takes no bytes: what it holds is as it was.
+    Disk(std::string folder, DiskBackend backend, DrawIncarnation draw);
     ~Disk();
-    std::map<std::string, nlohmann::json> all() const;
-    // On disk when it returns. Throws std::runtime_error where the disk refuses.
-    void write(const std::string& name, const nlohmann::json& body);
+
+    const std::string& incarnation() const { return identity_.incarnation; }
+    // Whether a state once stood here and was lost (afterLossRecord).
+    bool afterLoss() const { return identity_.afterLoss; }
+
+    // Throws DiskError.
+    DiskRecords all() const;
+    // All of them in one write with one sync: on disk when it returns. Throws DiskError (refuses); whether
+    // they are on disk is then open, and nothing more is taken before `reopen`.
+    void write(const DiskRecords& records);
+    // After a write that was refused. Throws DiskError: refuses, if it still does; lost, if what was written
+    // before can't be shown to stand.
+    void reopen();
 
 private:
+    struct Identity {
+        bool ready = false;  // false: being made, nothing was promised under it yet
+        bool afterLoss = false;
+        std::string incarnation;
+    };
+    std::string statePath() const { return folder_ + "/state"; }
+    std::string identityPath() const { return folder_ + "/identity"; }
+    void makeFolder();
+    // None where there is no such file. Throws DiskError (lost) where it can't be understood.
+    std::optional<Identity> readIdentity();
+    void writeIdentity();
+    bool stateFolderHoldsFiles();
+    void create();
+    void removeState();
+    void openExisting();
+    void requireLog();
+    void cutTornTails();
+    void cutTornTail(const std::string& path);
+    void open(bool make);
+
+    const std::string folder_;
+    DurableEnv env_;
+    const DrawIncarnation draw_;
+    const std::unique_ptr<leveldb::Logger> logger_ = silentLogger();
+    Identity identity_;
     std::unique_ptr<leveldb::DB> db_;
 };
 
--- /dev/null
+++ b/src/control/disk_health.cpp
@@ -0,0 +1,27 @@
+#include "control/disk_health.hpp"
+
+namespace granitereel::control {
+
+const char* textOf(DiskHealth health) {
+    switch (health) {
+        case DiskHealth::ok:
+            return "ok";
+        case DiskHealth::slow:
+            return "slow";
+        case DiskHealth::refuses:
+            return "refuses";
+    }
+    return "unknown";
+}
+
+std::optional<std::string> DiskWatch::seen(DiskHealth health, Nanos now) {
+    const DiskHealth before = health_;
+    if (health == before) return std::nullopt;
+    health_ = health;
+    if (before == DiskHealth::ok) unwellSince_ = now;
+    if (health != DiskHealth::ok)
+        return std::string("the disk is unwell: ") + textOf(health) + "; no vote until it is well";
+    return "the disk is well again after " + std::to_string((now - unwellSince_) / millis(1)) + " ms";
+}
+
+}  // namespace granitereel::control
--- /dev/null
+++ b/src/control/durable_env.cpp
@@ -0,0 +1,110 @@
+#include "control/durable_env.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace granitereel::control {
+
+leveldb::Status syncFolder(const std::string& folder) {
+    const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0) return leveldb::Status::IOError(folder, std::strerror(errno));
+    const int result = ::fsync(descriptor);
+    const int cause = errno;
+    ::close(descriptor);
+    if (result != 0) return leveldb::Status::IOError(folder, std::strerror(cause));
+    return leveldb::Status::OK();
+}
+
+std::string parentOf(const std::string& path) {
+    const std::size_t end = path.find_last_not_of('/');
+    const std::size_t slash = end == std::string::npos ? end : path.rfind('/', end);
+    if (slash == std::string::npos) return ".";
+    return slash == 0 ? "/" : path.substr(0, slash);
+}
+
+DurableEnv::DurableEnv(leveldb::Env& target, FolderSync sync)
+    : leveldb::EnvWrapper(&target), sync_(std::move(sync)) {}
+
+leveldb::Status DurableEnv::settle() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (unsettled_.empty()) return leveldb::Status::OK();
+    leveldb::Status status = sync_(unsettled_);
+    if (status.ok()) unsettled_.clear();
+    return status;
+}
+
+leveldb::Status DurableEnv::synced(leveldb::Status changed, const std::string& path) {
+    return changed.ok() ? sync_(parentOf(path)) : changed;
+}
+
+leveldb::Status DurableEnv::NewWritableFile(const std::string& path, leveldb::WritableFile** made) {
+    *made = nullptr;
+    leveldb::Status status = settle();
+    if (status.ok()) status = synced(target()->NewWritableFile(path, made), path);
+    if (!status.ok()) delete std::exchange(*made, nullptr);
+    return status;
+}
+
+leveldb::Status DurableEnv::NewAppendableFile(const std::string& path, leveldb::WritableFile** made) {
+    *made = nullptr;
+    leveldb::Status status = settle();
+    if (status.ok()) status = synced(target()->NewAppendableFile(path, made), path);
+    if (!status.ok()) delete std::exchange(*made, nullptr);
+    return status;
+}
+
+leveldb::Status DurableEnv::RenameFile(const std::string& from, const std::string& to) {
+    leveldb::Status status = settle();
+    if (status.ok()) status = target()->RenameFile(from, to);
+    if (!status.ok()) return status;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        unsettled_ = parentOf(to);
+    }
+    settle();
+    return status;
+}
+
+leveldb::Status DurableEnv::RemoveFile(const std::string& path) {
+    const leveldb::Status status = settle();
+    return status.ok() ? synced(target()->RemoveFile(path), path) : status;
+}
+
+leveldb::Status DurableEnv::CreateDir(const std::string& path) {
+    return synced(target()->CreateDir(path), path);
+}
+
+leveldb::Status DurableEnv::RemoveDir(const std::string& path) {
+    return synced(target()->RemoveDir(path), path);
+}
+
+leveldb::Status replaceFile(DurableEnv& env, const std::string& path, const std::string& content) {
+    const std::string temporary = path + ".new";
+    leveldb::WritableFile* opened = nullptr;
+    leveldb::Status status = env.NewWritableFile(temporary, &opened);
+    if (!status.ok()) return status;
+    const std::unique_ptr<leveldb::WritableFile> file(opened);
+    status = file->Append(content);
+    if (status.ok()) status = file->Sync();
+    if (status.ok()) status = file->Close();
+    if (status.ok()) status = env.RenameFile(temporary, path);
+    if (status.ok()) status = env.settle();
+    return status;
+}
+
+namespace {
+class SilentLogger : public leveldb::Logger {
+public:
+    void Logv(const char*, std::va_list) override {}
+};
+}  // namespace
+
+std::unique_ptr<leveldb::Logger> silentLogger() {
+    return std::make_unique<SilentLogger>();
+}
+
+}  // namespace granitereel::control
--- /dev/null
+++ b/src/control/durable_env.hpp
@@ -0,0 +1,56 @@
+// LevelDB's environment with the folder of a file synced after each change of its names: after a loss of
+// power a file that was made, renamed or removed without it may be kept or lost by itself, whatever its
+// content's own sync.
+#pragma once
+
+#include <leveldb/env.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace granitereel::control {
+
+// Makes the names in a folder durable.
+using FolderSync = std::function<leveldb::Status(const std::string& folder)>;
+
+// fsync(2) of the folder.
+leveldb::Status syncFolder(const std::string& folder);
+
+// The folder that a file or folder is named in.
+std::string parentOf(const std::string& path);
+
+// A name that was made or removed is durable when the call returns. One that was renamed is, too, or else the
+// folder is synced before any further name changes: by then there is no way back, and LevelDB, told of a
+// failure, would remove the very file that CURRENT leads to.
+class DurableEnv : public leveldb::EnvWrapper {
+public:
+    // `target` outlives this; it is given back by LevelDB's EnvWrapper::target().
+    DurableEnv(leveldb::Env& target, FolderSync sync);
+
+    leveldb::Status NewWritableFile(const std::string& path, leveldb::WritableFile** made) override;
+    leveldb::Status NewAppendableFile(const std::string& path, leveldb::WritableFile** made) override;
+    leveldb::Status RenameFile(const std::string& from, const std::string& to) override;
+    leveldb::Status RemoveFile(const std::string& path) override;
+    leveldb::Status CreateDir(const std::string& path) override;
+    leveldb::Status RemoveDir(const std::string& path) override;
+    // Syncs the folder of a rename whose sync failed.
+    leveldb::Status settle();
+
+private:
+    // A changed name is durable, or the call failed.
+    leveldb::Status synced(leveldb::Status changed, const std::string& path);
+    const FolderSync sync_;
+    std::mutex mutex_;       // LevelDB compacts on a thread of its own
+    std::string unsettled_;  // the folder of such a rename; empty: none
+};
+
+// Writes a small file whole: afterwards the path holds either what it held before or the new content, also
+// after a loss of power.
+leveldb::Status replaceFile(DurableEnv& env, const std::string& path, const std::string& content);
+
+// A log of LevelDB's own doings that keeps nothing: no file, no bytes.
+std::unique_ptr<leveldb::Logger> silentLogger();
+
+}  // namespace granitereel::control
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "control/disk_records.hpp"
+
 namespace granitereel::control {
 
 namespace {
@@ -50,7 +52,7 @@
     }
     if (core_.epoch) {
         proposer_.core(core_, now);
-    } else if (settings_.firstBoot) {
+    } else if (settings_.firstBoot && !disk.count(std::string(afterLossRecord))) {
         // All processes get the same seeds at the first start: they found the core, each by itself and alike.
         outputs_.push_back(
             ToLog{"founding the core with " + std::to_string(settings_.seeds.size()) + " voters"});
@@ -244,7 +246,7 @@
     // An earlier epoch's majority may lack what was accepted since: its proposer is told the present one.
     const std::uint64_t epoch = message.at("e");
     if (epoch > core_.epoch) adopt({epoch, message.at("c").get<std::set<std::string>>()});
-    if (!votes()) return;
+    if (!votes() || !diskWatch_.votes()) return;
     if (epoch < core_.epoch) {
         if (link) send(link, {{"k", "stale"}, {"e", core_.epoch}, {"c", core_.voters}});
         return;
@@ -286,9 +288,25 @@
         reply["b"] = slot.promised.by;
     }
     if (link != 0)
-        send(link, std::move(reply));
+        outputs_.push_back(ToLink{link, std::move(reply), Release::onceDurable});
     else
-        proposer_.heard(self_, reply, now_);
+        outputs_.push_back(ToSelf{std::move(reply)});
+}
+
+void ControlMember::voteStored(const Json& reply, Nanos now) {
+    now_ = now;
+    proposer_.heard(self_, reply, now);
+    flushProposer(now);
+}
+
+void ControlMember::diskSeen(DiskHealth health, Nanos now) {
+    if (std::optional<std::string> line = diskWatch_.seen(health, now))
+        outputs_.push_back(ToLog{std::move(*line)});
+}
+
+bool ControlMember::disqualified(const std::string& voter) const {
+    const board::Record* record = board().find("member/" + voter);
+    return record && record->body.is_object() && record->body.value("disk_unwell", false);
 }
 
 // What proposers of this member say goes to its own vote directly.
@@ -413,7 +431,7 @@
     } catch (const configuration::Invalid& fault) {
         return answer(call, Kind::notSound, Json{{"fault", fault.what()}}.dump());
     }
-    if (!core_.epoch) return answer(call, Kind::unready);
+    if (!core_.epoch || diskWatch_.health() == DiskHealth::refuses) return answer(call, Kind::unready);
     proposer_.begin(
         {"config",
          [sent](const Json& was) {
@@ -488,6 +506,7 @@
             slot = std::make_unique<Succession>(self_, record.body.at("service"), leaseTime + driftOfClocks,
                                                 *this);
     });
+    std::erase_if(here, [this](const std::string& voter) { return disqualified(voter); });
     for (const auto& [service, succession] : successions_) {
         const auto best = std::max_element(here.begin(), here.end(), [&, &name = service](auto& a, auto& b) {
             return weight(a, name) < weight(b, name);
@@ -614,8 +633,9 @@
 
 void ControlMember::tick(Nanos now) {
     now_ = now;
-    gossip_.own("member/" + self_,
-                {{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}});
+    Json self{{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}};
+    if (!diskWatch_.ownsDuties(now)) self["disk_unwell"] = true;
+    gossip_.own("member/" + self_, std::move(self));
     rounds(now);
     proposer_.tick(now);
     for (std::string& text : proposer_.takeFailures()) outputs_.push_back(ToLog{std::move(text)});
@@ -643,6 +663,7 @@
             {"voters", core_.voters},
             {"votes", votes()},
             {"recovering", recovering_},
+            {"disk", textOf(diskWatch_.health())},
             {"lease_left_ms", std::max<Nanos>(0, leaseUntil_ - now) / 1'000'000},
             {"edition", config ? Json(config->version.major) : Json()},
             {"registers", acceptor_.all().size()},
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -11,6 +11,7 @@
 
 #include "board/gossip.hpp"
 #include "configuration/configuration.hpp"
+#include "control/disk_health.hpp"
 #include "control/outputs.hpp"
 #include "control/register.hpp"
 #include "control/succession.hpp"
@@ -34,6 +35,10 @@
               const std::string& body, Nanos now);
     void storeAnswered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now);
     void platformAnswered(std::uint64_t ask, int status, Nanos now);
+    // A reply of this member's own vote (ToSelf): what it says is on disk.
+    void voteStored(const Json& reply, Nanos now);
+    // How the disk does; said before each tick and when it changes.
+    void diskSeen(DiskHealth health, Nanos now);
     void tick(Nanos now);
 
     Outputs takeOutputs() { return std::exchange(outputs_, {}); }
@@ -71,6 +76,8 @@
     bool said(const std::string& name, const Json& value) const;
     std::size_t rank() const;
     void vote(int link, const Json& message);
+    // Whether this voter's disk is too unwell for it to own duties, by what it tells of itself.
+    bool disqualified(const std::string& voter) const;
     void flushProposer(Nanos now);
     void adopt(Core core);
     void manage(Nanos now);
@@ -93,6 +100,7 @@
     Proposer proposer_;
     Core core_;
     bool recovering_ = false;
+    DiskWatch diskWatch_;
     // A change of who votes: the registers of those who answered, which are accepted anew before it.
     struct Reform {
         Core to;
--- a/src/control/outputs.hpp
+++ b/src/control/outputs.hpp
@@ -1,5 +1,5 @@
-// What the state machines of control want done, in this order: what is written is on disk before anything
-// behind it is sent or answered.
+// What the state machines of control want done, in this order. What depends on a write leaves only once every
+// write before it is synced (DurabilityGate); everything else leaves at once, whatever the disk does.
 #pragma once
 
 #include <cstdint>
@@ -20,9 +20,18 @@
 };
 Reply replyOf(Kind kind);
 
+// When an output leaves: at once, or when all writes that stand before it are synced.
+enum class Release { now, onceDurable };
+
 struct ToLink {
     int link = 0;
     Json message;
+    Release release = Release::now;
+};
+// The reply of this member's vote to its own proposer: handed back to ControlMember::voteStored when all
+// writes that stand before it are synced.
+struct ToSelf {
+    Json reply;
 };
 struct ToDisk {
     std::string name;
@@ -49,7 +58,7 @@
 struct ToLog {
     std::string line;
 };
-using Output = std::variant<ToLink, ToDisk, ToCaller, ToStore, ToPlatform, ToLog>;
+using Output = std::variant<ToLink, ToSelf, ToDisk, ToCaller, ToStore, ToPlatform, ToLog>;
 using Outputs = std::vector<Output>;
 
 }  // namespace granitereel::control
--- a/src/control/program.cpp
+++ b/src/control/program.cpp
@@ -2,10 +2,15 @@
 
 #include <spdlog/spdlog.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <cstdlib>
 #include <random>
+#include <thread>
 
 #include "control/disk.hpp"
+#include "control/disk_writer.hpp"
+#include "control/durability_gate.hpp"
 #include "control/member.hpp"
 #include "transport/http.hpp"
 #include "transport/link.hpp"
@@ -18,14 +23,38 @@
 namespace asio = boost::asio;
 using transport::Link;
 
+// At the end the disk's thread has so long; well within any grace period that is given in seconds.
+constexpr std::chrono::milliseconds endWithin{500};
+
+std::string drawIncarnation() {
+    std::random_device chance;
+    return std::to_string((std::uint64_t(chance()) << 32) | chance());
+}
+
+// Waits while the disk refuses: to end would change nothing, and a refusal says nothing of what it holds.
+std::unique_ptr<Disk> openDisk(const std::string& folder) {
+    for (bool told = false;; told = true) {
+        try {
+            return std::make_unique<Disk>(folder, machineDisk(), drawIncarnation);
+        } catch (const DiskError& error) {
+            if (!told) spdlog::warn("waiting for the disk: {}", error.what());
+            std::this_thread::sleep_for(DiskWriter::retryEvery);
+        }
+    }
+}
+
 class Program {
 public:
     Program(const settings::Settings& settings, const std::string& settingsPath)
         : settings_(settings),
           settingsPath_(settingsPath),
           loop_(1),
-          disk_(settings.dataPath),
+          disk_(openDisk(settings.dataPath)),
           member_(begin()),
+          writer_(std::move(disk_),
+                  [this](DiskReport report) {
+                      asio::post(loop_, [this, report = std::move(report)] { diskReported(report); });
+                  }),
           ticker_(loop_),
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
           listener_(loop_,
@@ -43,19 +72,44 @@
         tick();
         spdlog::info("control serves at {}", settings_.controlAddress);
         loop_.run();
-        return 0;
+        if (!writer_.stop(endWithin)) {
+            spdlog::warn("ends although the disk hangs");
+            spdlog::default_logger()->flush();
+            std::_Exit(exitCode_);
+        }
+        return exitCode_;
     }
 
 private:
     ControlMember begin() {
-        auto all = disk_.all();
-        // A member whose disk is empty is another than it was: what the earlier one said counts no more.
-        if (!all.count("incarnation")) {
-            std::random_device chance;
-            all["incarnation"] = std::to_string((std::uint64_t(chance()) << 32) | chance());
-            disk_.write("incarnation", all["incarnation"]);
+        const DiskRecords records = disk_->all();
+        if (disk_->afterLoss() && !records.count("core"))
+            spdlog::warn("the state on disk was lost: begins anew");
+        return ControlMember(settings_, disk_->incarnation(), records, transport::steadyNow());
+    }
+
+    DiskHealth diskHealth(Nanos now) const {
+        if (diskRefuses_) return DiskHealth::refuses;
+        return now - gate_.waitingSince(now) >= slowDiskAfter ? DiskHealth::slow : DiskHealth::ok;
+    }
+
+    void diskReported(const DiskReport& report) {
+        if (report.event == DiskReport::Event::lost) {
+            // The next start finds the same, and begins as another with an empty disk.
+            spdlog::error("ends, since the disk lost what it held: {}", report.cause);
+            exitCode_ = EXIT_FAILURE;
+            return loop_.stop();
         }
-        return ControlMember(settings_, all["incarnation"], all, transport::steadyNow());
+        const bool refuses = report.event == DiskReport::Event::refuses;
+        if (refuses && !diskRefuses_) spdlog::warn("{}", report.cause);
+        diskRefuses_ = refuses;
+        Outputs released;
+        if (!refuses) released = gate_.durable(report.ticket);
+        const Nanos now = transport::steadyNow();
+        member_.diskSeen(diskHealth(now), now);
+        // Not through the gate again, where they would wait for the writes since.
+        for (Output& output : released) carry(output);
+        carryOut();
     }
 
     void listen() {
@@ -78,6 +132,7 @@
     void tick() {
         const Nanos now = transport::steadyNow();
         dial(now);
+        member_.diskSeen(diskHealth(now), now);
         member_.tick(now);
         carryOut();
         ticker_.expires_after(std::chrono::milliseconds(50));
@@ -127,13 +182,23 @@
 
     void carryOut() {
         for (Outputs outputs = member_.takeOutputs(); !outputs.empty(); outputs = member_.takeOutputs())
-            for (Output& output : outputs) std::visit([this](auto& each) { carry(each); }, output);
+            for (Output& output : outputs)
+                if (!gate_.holds(output)) carry(output);
+        // All at once: one wake-up of the disk's thread, one sync.
+        if (!toDisk_.empty()) writer_.submit(std::exchange(toDisk_, {}), lastWrite_);
+    }
+    void carry(Output& output) {
+        std::visit([this](auto& each) { carry(each); }, output);
     }
     void carry(ToLink& out) {
         const auto at = links_.find(out.link);
         if (at != links_.end()) at->second->send(out.message);
     }
-    void carry(ToDisk& out) { disk_.write(out.name, out.body); }
+    void carry(ToSelf& out) { member_.voteStored(out.reply, transport::steadyNow()); }
+    void carry(ToDisk& out) {
+        lastWrite_ = gate_.written(transport::steadyNow());
+        toDisk_[out.name] = std::move(out.body);
+    }
     void carry(ToCaller& out) {
         const Reply reply = replyOf(out.kind);
         http_.answer(out.call, reply.status,
@@ -166,8 +231,14 @@
     const settings::Settings settings_;
     const std::string settingsPath_;
     asio::io_context loop_;
-    Disk disk_;
+    std::unique_ptr<Disk> disk_;  // until the writer has it
     ControlMember member_;
+    DurabilityGate gate_;
+    DiskRecords toDisk_;  // not handed to the writer yet
+    std::uint64_t lastWrite_ = 0;
+    bool diskRefuses_ = false;
+    int exitCode_ = EXIT_SUCCESS;
+    DiskWriter writer_;
     asio::steady_timer ticker_;
     asio::signal_set signals_;
     std::map<int, std::shared_ptr<Link>> links_;
--- a/standins/control_world.hpp
+++ b/standins/control_world.hpp
@@ -1,5 +1,5 @@
-// Members of control in virtual time: disks that forget, links that delay and cut, processes that die at a
-// write.
+// Members of control in virtual time: disks that forget, are slow or refuse, links that delay and cut,
+// processes that die at a write.
 #pragma once
 
 #include <algorithm>
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "control/durability_gate.hpp"
 #include "control/member.hpp"
 
 namespace granitereel::standins {
@@ -20,6 +21,11 @@
 // Members of control over links in virtual time. Each has a disk; a crash takes what is under way, a wipe the
 // disk.
 struct ControlWorld {
+    struct Unsynced {
+        std::uint64_t ticket;
+        std::string name;
+        Json body;
+    };
     struct Member {
         settings::Settings settings;
         std::map<std::string, Json> disk;
@@ -28,6 +34,15 @@
         std::map<std::string, int> dialled;
         std::map<std::uint64_t, std::pair<Kind, std::string>> answers;
         int writesLeft = 1 << 30;  // it dies behind so many writes
+        // The disk: how long a sync takes (0: at once), and whether it takes bytes.
+        Nanos syncTakes = 0;
+        bool refuses = false;
+        DurabilityGate gate;
+        std::vector<Unsynced> unsynced;  // lost when it is killed
+        std::size_t syncing = 0;         // how many of them, from the front, the sync under way covers
+        Nanos syncedAt = 0;              // when it ends
+        int writes = 0, syncs = 0, storeAsks = 0;
+        std::vector<std::string> log;
     };
     struct Packet {
         Nanos at;
@@ -75,6 +90,9 @@
         m.control.reset();
         ++lives[name];
         m.writesLeft = 1 << 30;
+        m.gate = {};
+        m.unsynced.clear();
+        m.syncing = 0;
         for (auto it = wires.begin(); it != wires.end();) {
             if (it->second.first != name) {
                 ++it;
@@ -111,26 +129,76 @@
     }
     void carry(const std::string& name) {
         Member& m = members[name];
-        if (!m.control) return;
-        for (Output& each : m.control->takeOutputs()) {
+        while (m.control) {
+            const Outputs outputs = m.control->takeOutputs();
+            if (!outputs.empty())
+                carryOut(name, outputs);
+            else if (!sync(name))
+                return;
+        }
+    }
+    void carryOut(const std::string& name, Outputs outputs) {
+        Member& m = members[name];
+        for (Output& each : outputs) {
             if (auto* disk = std::get_if<ToDisk>(&each)) {
-                if (m.writesLeft-- <= 0) return kill(name);
-                m.disk[disk->name] = disk->body;
-            } else if (auto* out = std::get_if<ToLink>(&each)) {
-                const auto wire = wires.find(out->link);
-                if (wire == wires.end()) continue;
-                const auto& [to, link] = wire->second;
-                if (!reach(name, to)) continue;
-                packets.push_back(
-                    {now + millis(1) + Nanos(chance() % 3'000'000), name, to, link, out->message, lives[to]});
-                // A link keeps its order.
-                for (const Packet& p : packets)
-                    if (p.linkTo == link) packets.back().at = std::max(packets.back().at, p.at + 1);
-            } else if (auto* answer = std::get_if<ToCaller>(&each)) {
-                m.answers[answer->call] = {answer->kind, answer->body};
+                m.unsynced.push_back({m.gate.written(now), disk->name, std::move(disk->body)});
+                ++m.writes;
+            } else if (!m.gate.holds(each)) {
+                release(name, each);
             }
         }
     }
+    // One sync at a time; what waits meanwhile shares the next one. Returns whether one ended.
+    bool sync(const std::string& name) {
+        Member& m = members[name];
+        if (m.refuses) return false;
+        if (m.syncing == 0 && !m.unsynced.empty()) {
+            m.syncing = m.unsynced.size();
+            m.syncedAt = now + m.syncTakes;
+            ++m.syncs;
+        }
+        if (m.syncing == 0 || now < m.syncedAt) return false;
+        std::uint64_t ticket = 0;
+        for (; m.syncing > 0; --m.syncing) {
+            if (m.writesLeft-- <= 0) {
+                kill(name);
+                return false;
+            }
+            Unsynced& write = m.unsynced.front();
+            m.disk[write.name] = std::move(write.body);
+            ticket = write.ticket;
+            m.unsynced.erase(m.unsynced.begin());
+        }
+        Outputs released = m.gate.durable(ticket);
+        for (Output& each : released) release(name, each);
+        return true;
+    }
+    void release(const std::string& name, Output& each) {
+        Member& m = members[name];
+        if (auto* self = std::get_if<ToSelf>(&each)) {
+            m.control->voteStored(self->reply, now);
+        } else if (auto* out = std::get_if<ToLink>(&each)) {
+            const auto wire = wires.find(out->link);
+            if (wire == wires.end()) return;
+            const auto& [to, link] = wire->second;
+            if (!reach(name, to)) return;
+            packets.push_back(
+                {now + millis(1) + Nanos(chance() % 3'000'000), name, to, link, out->message, lives[to]});
+            // A link keeps its order.
+            for (const Packet& p : packets)
+                if (p.linkTo == link) packets.back().at = std::max(packets.back().at, p.at + 1);
+        } else if (auto* answer = std::get_if<ToCaller>(&each)) {
+            m.answers[answer->call] = {answer->kind, answer->body};
+        } else if (auto* log = std::get_if<ToLog>(&each)) {
+            m.log.push_back(log->line);
+        } else if (std::holds_alternative<ToStore>(each)) {
+            ++m.storeAsks;
+        }
+    }
+    DiskHealth diskOf(const Member& m) const {
+        if (m.refuses && !m.unsynced.empty()) return DiskHealth::refuses;
+        return now - m.gate.waitingSince(now) >= slowDiskAfter ? DiskHealth::slow : DiskHealth::ok;
+    }
     void step() {
         now += millis(1);
         for (bool any = true; any;) {
@@ -149,6 +217,7 @@
             to.control->heard(p.linkTo, p.message, now);
             carry(p.to);
         }
+        for (auto& [name, m] : members) carry(name);
         if (now / millis(1) % 50) return;
         for (auto& [name, m] : members) {
             if (!m.control) continue;
@@ -159,6 +228,7 @@
                 if (!m.control) break;
             }
             if (!m.control) continue;
+            m.control->diskSeen(diskOf(m), now);
             m.control->tick(now);
             carry(name);
         }
