--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "control/disk_records.hpp"
+
 namespace granitereel::control {
 
 namespace {
@@ -61,7 +63,7 @@
     }
     if (core_.epoch) {
         proposer_.core(core_, now);
-    } else if (settings_.firstBoot) {
+    } else if (settings_.firstBoot && !disk.count(std::string(afterLossRecord))) {
         // All processes get the same seeds at the first start: they found the core, each by itself and alike.
         outputs_.push_back(
             ToLog{"founding the core with " + std::to_string(settings_.seeds.size()) + " voters"});
@@ -295,7 +297,7 @@
         return;
     }
     VoteReply reply{VoteKind::abstains, request.attempt, request.ballot, {}, false, {}};
-    if (votes()) {
+    if (votes() && diskWatch_.votes()) {
         const Acceptor::Outcome outcome = acceptor_.answer(request);
         reply = outcome.reply;
         if (outcome.conflict)
@@ -306,9 +308,9 @@
         if (reply.kind == VoteKind::accepted) accepted(request.name);
     }
     if (link != 0)
-        send(link, reply.toJson());
+        outputs_.push_back(ToLink{link, reply.toJson(), Release::onceDurable});
     else
-        proposer_.heard(self_, reply.toJson(), now_);
+        outputs_.push_back(ToSelf{reply.toJson()});
 }
 
 // A value was accepted here; whether it is chosen is for a proposer to say.
@@ -318,6 +320,22 @@
     if (!value.is_null() && !said(name, value)) unannounced_.try_emplace(name, now_);
 }
 
+void ControlMember::voteStored(const Json& reply, Nanos now) {
+    now_ = now;
+    proposer_.heard(self_, reply, now);
+    flushProposer(now);
+}
+
+void ControlMember::diskSeen(DiskHealth health, Nanos now) {
+    if (std::optional<std::string> line = diskWatch_.seen(health, now))
+        outputs_.push_back(ToLog{std::move(*line)});
+}
+
+bool ControlMember::disqualified(const std::string& voter) const {
+    const board::Record* record = board().find("member/" + voter);
+    return record && record->body.is_object() && record->body.value("disk_unwell", false);
+}
+
 // What proposers of this member say goes to its own vote directly.
 void ControlMember::flushProposer(Nanos) {
     for (auto said = proposer_.takeSaid(); !said.empty(); said = proposer_.takeSaid())
@@ -423,7 +441,7 @@
     } catch (const configuration::Invalid& fault) {
         return answer(call, Kind::notSound, Json{{"fault", fault.what()}}.dump());
     }
-    if (!core_.epoch) return answer(call, Kind::unready);
+    if (!core_.epoch || diskWatch_.health() == DiskHealth::refuses) return answer(call, Kind::unready);
     proposer_.begin(
         {"config",
          [sent](const Json& was) {
@@ -498,6 +516,7 @@
             slot = std::make_unique<Succession>(self_, record.body.at("service"),
                                                 LeaseRounds::leaseTime + driftOfClocks, *this);
     });
+    std::erase_if(here, [this](const std::string& voter) { return disqualified(voter); });
     for (const auto& [service, succession] : successions_) {
         const auto best = std::max_element(here.begin(), here.end(), [&, &name = service](auto& a, auto& b) {
             return weight(a, name) < weight(b, name);
@@ -630,9 +649,10 @@
 
 void ControlMember::tick(Nanos now) {
     now_ = now;
-    Json own = {{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}};
+    Json own{{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}};
     if (recovering_) own["recovering"] = true;
-    gossip_.own("member/" + self_, own);
+    if (!diskWatch_.ownsDuties(now)) own["disk_unwell"] = true;
+    gossip_.own("member/" + self_, std::move(own));
     rounds(now);
     proposer_.tick(now);
     for (std::string& text : proposer_.takeFailures()) outputs_.push_back(ToLog{std::move(text)});
@@ -656,6 +676,7 @@
             {"voters", core_.voters},
             {"votes", votes()},
             {"recovering", recovering_},
+            {"disk", textOf(diskWatch_.health())},
             {"lease_left_ms", std::max<Nanos>(0, lease_.until() - now) / 1'000'000},
             {"edition", config ? Json(config->version.major) : Json()},
             {"registers", acceptor_.all().size()},
