Choose voters by a policy of their own; a member told to end hands over first

SIGTERM ended a member at once.

Change: control/voter_policy (a pure function), control/membership (who is in reach, the census, the change), control/departure (flush to the voters in reach, then end; bound: a third of grace_s). A voter that is away for a quarter of sync_in_s goes once a newcomer is there, first at an odd number, at once at an even one; one that leaves and still serves goes after its successor came. A removal for absence needs a majority that misses the voter. Calls are answered 503 while the member leaves. The floor is two of tolerance.machine_count plus one.

--- a/src/control/answers.cpp
+++ b/src/control/answers.cpp
@@ -18,6 +18,8 @@
             return {503, "no majority of the core answered in time"};
         case Kind::unready:
             return {503, "not ready yet"};
+        case Kind::leaving:
+            return {503, "this member ends: another takes calls"};
     }
     return {500, "unknown"};
 }
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -19,8 +19,8 @@
 constexpr Nanos unannouncedFor = millis(250);
 // After a start nothing has been said yet, and everyone waits for it.
 constexpr Nanos soonAtStart = millis(50);
-// A member that comes gets its vote after this; one that is away loses it after this, where others have come.
-constexpr Nanos settlesIn = millis(300), awayForGood = millis(15'000);
+// A member that was told to end is gone after this part of guarantees.grace_s, whatever is left to hand over.
+constexpr int leavingPartOfGrace = 3;
 // What an earlier life of a member with an empty disk may have said is no longer under way after this.
 constexpr Nanos forgottenAfter = changeWithin + millis(300);
 
@@ -39,8 +39,9 @@
       gossip_([this](int link, Json message) { send(link, std::move(message)); },
               [this](const std::string& name, const board::Record& record) { news(name, record); }),
       proposer_(self_, [this](const std::string& name) -> const Slot& { return acceptor_.at(name); }),
+      now_(now),
+      membership_(self_, settings_, *this, now),
       startedAt_(now) {
-    now_ = now;
     for (const auto& [name, body] : disk) {
         if (name == "core") {
             core_ = {body.at("epoch").get<std::uint64_t>(), body.at("voters").get<std::set<std::string>>()};
@@ -50,6 +51,7 @@
     }
     if (core_.epoch) {
         proposer_.core(core_, now);
+        membership_.adopted({}, core_, now);
     } else if (settings_.firstBoot) {
         // All processes get the same seeds at the first start: they found the core, each by itself and alike.
         outputs_.push_back(
@@ -64,8 +66,14 @@
 // Of two cores the later epoch holds, from the disk's sync on.
 void ControlMember::adopt(Core core) {
     if (core.epoch <= core_.epoch) return;
+    // Whoever tells an empty disk of the core first: it must not vote for what it has forgotten.
+    if (!core_.epoch && !settings_.firstBoot) {
+        recovering_ = core.voters.count(self_) > 0;
+        outputs_.push_back(ToLog{recovering_ ? "the disk was lost: reading the core's state before voting"
+                                             : "joined the core without a vote"});
+    }
+    membership_.adopted(core_, core, now_);
     core_ = std::move(core);
-    reform_.reset();
     outputs_.push_back(
         ToDisk{"core", {{"epoch", core_.epoch}, {"voters", core_.voters}, {"recovering", recovering_}}});
     proposer_.core(core_, now_);
@@ -92,6 +100,8 @@
                 {"kind", "member"},
                 {"member", self_},
                 {"station", settings_.station},
+                {"leaving", departure_.begun()},
+                {"recovering", recovering_},
                 {"incarnation", incarnation_}});
     gossip_.join(link);
     proposer_.reached(dialled);
@@ -115,6 +125,7 @@
     if (name == "core")
         adopt({record.body.at("epoch").get<std::uint64_t>(),
                record.body.at("voters").get<std::set<std::string>>()});
+    if (name.starts_with("member/")) membership_.told(name.substr(7), MemberStanding::fromJson(record.body));
     unannounced_.erase(name);
 }
 
@@ -141,7 +152,7 @@
     std::size_t before = 0;
     for (const std::string& voter : core_.voters) {
         if (voter == self_) break;
-        before += here(voter);
+        before += membership_.inReach(voter, now_);
     }
     return before;
 }
@@ -149,7 +160,9 @@
 void ControlMember::heard(int link, const Json& message, Nanos now) {
     now_ = now;
     take(link, message, now);
+    if (membership_.changing(now)) membership_.tick(votes(), now);
     flushProposer(now);
+    depart(now);
 }
 
 void ControlMember::take(int link, const Json& message, Nanos now) {
@@ -158,6 +171,8 @@
     Peer& peer = found->second;
     const std::string kind = message.at("k");
     if (!peer.dialled.empty()) memberHeard_[peer.dialled] = now;
+    if (const std::string& member = peer.dialled.empty() ? peer.member : peer.dialled; !member.empty())
+        membership_.heard(member, now);
     if (kind == "hello") {
         peer.kind = message.at("kind");
         peer.station = message.value("station", "");
@@ -167,6 +182,8 @@
             const std::string told = message.at("incarnation");
             if (!known.empty() && known != told) proposer_.forgets(peer.member);
             known = told;
+            membership_.heard(peer.member, now);
+            membership_.told(peer.member, MemberStanding::fromJson(message));
         }
         if (peer.dialled.empty()) {
             send(link, {{"k", "hello"},
@@ -174,6 +191,8 @@
                         {"member", self_},
                         {"station", settings_.station},
                         {"district", settings_.district},
+                        {"leaving", departure_.begun()},
+                        {"recovering", recovering_},
                         {"incarnation", incarnation_},
                         {"epoch", core_.epoch},
                         {"voters", core_.voters}});
@@ -181,12 +200,6 @@
         } else if (const std::uint64_t epoch = message.value("epoch", std::uint64_t(0));
                    epoch > core_.epoch) {
             Core core{epoch, message.at("voters").get<std::set<std::string>>()};
-            if (!core_.epoch) {
-                recovering_ = core.voters.count(self_) > 0;
-                outputs_.push_back(ToLog{recovering_
-                                             ? "the disk was lost: reading the core's state before voting"
-                                             : "joined the core without a vote"});
-            }
             adopt(std::move(core));
         }
     } else if (kind == "news" || kind == "whole?") {
@@ -200,6 +213,9 @@
     } else if (kind == "round") {
         if (votes() && message.at("e") == core_.epoch)
             send(link, {{"k", "roundok"}, {"t", message.at("t")}, {"c", unsettledLeads()}});
+        // Who was cut off during a change of voters is told of it.
+        if (message.at("e") < core_.epoch)
+            send(link, {{"k", "stale"}, {"e", core_.epoch}, {"c", core_.voters}});
     } else if (kind == "roundok") {
         const auto at = roundsOut_.find(message.at("t").get<std::uint64_t>());
         for (const auto& [service, seq] : message.at("c").items())
@@ -217,16 +233,20 @@
     } else if (kind == "suspect") {
         suspected(message, now);
     } else if (kind == "dump?") {
-        if (message.contains("c"))
-            adopt({message.at("e").get<std::uint64_t>(), message["c"].get<std::set<std::string>>()});
         if (!votes()) return;
         Json slots = Json::object();
         for (const auto& [name, slot] : acceptor_.all()) slots[name] = written(slot);
         send(link, {{"k", "dump"}, {"e", core_.epoch}, {"slots", std::move(slots)}});
-    } else if (kind == "dump" && reform_ && !recovering_) {
-        if (message.at("e") != core_.epoch || !core_.voters.count(peer.dialled)) return;
-        reform_->heard.insert(peer.dialled);
-        for (const auto& [name, slot] : message.at("slots").items()) reform_->names.insert(name);
+    } else if (kind == "census?") {
+        const CensusRequest request = CensusRequest::fromJson(message);
+        adopt({request.epoch, request.voters});
+        if (votes()) send(link, membership_.answer(request, now).toJson());
+    } else if (kind == "census") {
+        if (votes()) membership_.heard(peer.dialled, CensusReply::fromJson(message), now);
+    } else if (kind == "flush?") {
+        send(link, FlushReply{FlushRequest::fromJson(message).number}.toJson());
+    } else if (kind == "flushed") {
+        departure_.heard(peer.dialled, FlushReply::fromJson(message));
     } else if (kind == "dump" && recovering_) {
         for (const auto& [name, slot] : message.at("slots").items())
             if (acceptor_.merge(name, readSlot(slot)))
@@ -360,6 +380,8 @@
     now_ = now;
     const std::string place = path.empty() ? "" : path[0];
     const std::string what = method + " " + place + (path.size() > 1 ? "/ID" : "");
+    const bool known = place == "config" || place == "stores" || place == "state";
+    if (departure_.begun() && known && place != "state") return answer(call, Kind::leaving);
     if (path.size() <= 2) {
         if (what == "PUT stores/ID") return storeCalled(call, path[1], body, now);
         if (what == "DELETE stores/ID") return storeLeft(call, path[1]);
@@ -367,7 +389,6 @@
         if (what == "GET config") return configAsked(call, now);
         if (what == "GET state") return answer(call, Kind::taken, state(now).dump());
     }
-    const bool known = place == "config" || place == "stores" || place == "state";
     answer(call, known ? Kind::notAllowed : Kind::notFound);
 }
 
@@ -476,6 +497,7 @@
     if (!settings_.promotes) return;
     std::vector<std::string> here;
     for (const std::string& voter : core_.voters) {
+        if (membership_.leaves(voter)) continue;
         const auto at = memberHeard_.find(voter);
         if (voter == self_ || linkTo(voter) || (at != memberHeard_.end() && now - at->second < awayAfter))
             here.push_back(voter);
@@ -521,101 +543,85 @@
                         now, now + changeWithin);
 }
 
-bool ControlMember::here(const std::string& member) const {
-    if (member == self_) return true;
-    for (const auto& [link, peer] : peers_)
-        if (peer.dialled == member || peer.member == member) return true;
-    return false;
-}
-
-// Who votes follows who is there: each member of control that stays gets a vote, one that is away for long
-// loses it once another has come in its place. One voter at a time; before each change every register is
-// accepted anew by a majority of the present voters, so that the next epoch's majorities meet one that holds
-// it.
-void ControlMember::manage(Nanos now) {
-    if (!core_.epoch || !votes() || now - managedAt_ < millis(100)) return;
-    managedAt_ = now;
-    if (reform_) {
-        Reform& reform = *reform_;
-        if (now - reform.since > millis(3000)) return reform_.reset();
-        if (reform.left < 0 && reform.heard.size() >= core_.majority()) {
-            reform.left = static_cast<int>(reform.names.size());
-            const std::uint64_t epoch = core_.epoch;
-            for (const std::string& name : std::set<std::string>(reform.names))
-                proposer_.begin({name, [](const Json& was) { return was; },
-                                 [this, name, epoch](std::optional<Json> stands) {
-                                     if (!reform_ || core_.epoch != epoch) return;
-                                     if (!stands) return reform_.reset();
-                                     learn(name, *stands);
-                                     --reform_->left;
-                                 },
-                                 true},
-                                now, now + changeWithin);
-        }
-        if (reform.left == 0) {
-            reform.left = 1 << 30;  // once
-            changeCore(reform.to, now);
-        } else if (reform.left < 0 && now - reform.askedAt > millis(300)) {
-            reform.askedAt = now;
-            for (const std::string& voter : core_.voters)
-                if (const int link = voter == self_ ? 0 : linkTo(voter))
-                    send(link, {{"k", "dump?"}, {"e", core_.epoch}, {"c", core_.voters}});
-        }
-        return;
-    }
-    std::set<std::string> present, away;
-    for (const auto& [link, peer] : peers_)
-        if (!peer.member.empty()) present.insert(peer.member);
-    for (const std::string& voter : core_.voters) {
-        if (here(voter))
-            voterAway_.erase(voter);
-        else if (now - voterAway_.try_emplace(voter, now).first->second > awayForGood)
-            away.insert(voter);
-    }
-    std::erase_if(memberSince_, [&](const auto& each) { return !present.count(each.first); });
-    for (const std::string& member : present) memberSince_.try_emplace(member, now);
-    // Two that think themselves the first clash at the register, and one goes on.
-    if (rank() > 0) return;
-    Reform reform;
-    reform.to = core_;
-    ++reform.to.epoch;
-    for (const auto& [member, since] : memberSince_)
-        if (!core_.voters.count(member) && now - since >= settlesIn) {
-            reform.to.voters.insert(member);
-            break;
-        }
-    if (reform.to.voters == core_.voters && core_.voters.size() > 3 && !away.empty())
-        reform.to.voters.erase(*away.begin());
-    if (reform.to.voters == core_.voters) return;
-    reform.since = now;
-    reform.heard.insert(self_);
-    for (const auto& [name, slot] : acceptor_.all()) reform.names.insert(name);
-    reform_ = std::move(reform);
+void ControlMember::sendToVoter(const std::string& voter, Json message) {
+    if (const int link = linkTo(voter)) send(link, std::move(message));
+}
+
+bool ControlMember::linkedTo(const std::string& member) const {
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& each) {
+        return each.second.dialled == member || each.second.member == member;
+    });
 }
 
-void ControlMember::changeCore(Core to, Nanos now) {
-    const Json wanted{{"epoch", to.epoch}, {"voters", to.voters}};
+std::set<std::string> ControlMember::registersHeld() const {
+    std::set<std::string> names;
+    for (const auto& [name, slot] : acceptor_.all()) names.insert(name);
+    return names;
+}
+
+void ControlMember::acceptAnew(const std::string& name, std::function<void(bool accepted)> done) {
+    proposer_.begin({name, [](const Json& was) { return was; },
+                     [this, name, done = std::move(done)](std::optional<Json> stands) {
+                         if (stands) learn(name, *stands);
+                         done(stands.has_value());
+                     },
+                     true},
+                    now_, now_ + changeWithin);
+}
+
+void ControlMember::writeCore(const Core& next, std::function<void()> done) {
+    const Json wanted{{"epoch", next.epoch}, {"voters", next.voters}};
     proposer_.begin(
         {"core",
          [wanted](const Json& was) {
              const std::uint64_t epoch = was.is_object() ? was.at("epoch").get<std::uint64_t>() : 1;
              return epoch + 1 == wanted.at("epoch") ? wanted : was;
          },
-         [this, wanted](std::optional<Json> stands) {
-             reform_.reset();
-             if (!stands || stands->is_null()) return;
-             learn("core", *stands);
-             if (*stands == wanted)
-                 outputs_.push_back(ToLog{"core of " + std::to_string(wanted.at("voters").size()) +
-                                          " voters in epoch " + wanted.at("epoch").dump()});
+         [this, wanted, done = std::move(done)](std::optional<Json> stands) {
+             if (stands && !stands->is_null()) {
+                 learn("core", *stands);
+                 if (*stands == wanted)
+                     outputs_.push_back(ToLog{"core of " + std::to_string(wanted.at("voters").size()) +
+                                              " voters in epoch " + wanted.at("epoch").dump()});
+             }
+             done();
          }},
-        now, now + changeWithin);
+        now_, now_ + changeWithin);
+}
+
+void ControlMember::leave(Nanos now) {
+    now_ = now;
+    if (departure_.begun()) return;
+    departure_.begin(millis(settings_.grace_ms / leavingPartOfGrace), now);
+    outputs_.push_back(ToLog{"told to end: handing over"});
+    ownRecord();
+    ownDuties(now);
+    depart(now);
+    flushProposer(now);
+}
+
+// Its vote has gone, or nothing that it sees speaks for another's having it.
+void ControlMember::depart(Nanos now) {
+    if (!departure_.begun()) return;
+    const bool voteSettled = !core_.voters.count(self_) || membership_.settled(now);
+    std::set<std::string> inReach;
+    for (const std::string& voter : core_.voters)
+        if (voter != self_ && membership_.inReach(voter, now)) inReach.insert(voter);
+    departure_.proceed(
+        proposer_.idle() && voteSettled, inReach,
+        [this](const std::string& voter, Json message) { sendToVoter(voter, std::move(message)); }, now);
+}
+
+void ControlMember::ownRecord() {
+    Json body{{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}};
+    if (departure_.begun()) body["leaving"] = true;
+    if (recovering_) body["recovering"] = true;
+    gossip_.own("member/" + self_, body);
 }
 
 void ControlMember::tick(Nanos now) {
     now_ = now;
-    gossip_.own("member/" + self_,
-                {{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}});
+    ownRecord();
     rounds(now);
     proposer_.tick(now);
     for (std::string& text : proposer_.takeFailures()) outputs_.push_back(ToLog{std::move(text)});
@@ -625,9 +631,10 @@
             if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, {{"k", "dump?"}});
     }
     repair(now);
-    manage(now);
+    membership_.tick(votes(), now);
     ownDuties(now);
     flushProposer(now);
+    depart(now);
 }
 
 Json ControlMember::state(Nanos now) const {
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -11,6 +11,8 @@
 
 #include "board/gossip.hpp"
 #include "configuration/configuration.hpp"
+#include "control/departure.hpp"
+#include "control/membership.hpp"
 #include "control/outputs.hpp"
 #include "control/register.hpp"
 #include "control/succession.hpp"
@@ -19,7 +21,7 @@
 
 namespace granitereel::control {
 
-class ControlMember : public Succession::Means {
+class ControlMember : public Succession::Means, private Membership::Means {
 public:
     // `incarnation`: drawn anew when the disk is empty, else as it was. `disk`: what was written, by name.
     ControlMember(const settings::Settings& settings, std::string incarnation,
@@ -36,6 +38,10 @@
     void platformAnswered(std::uint64_t ask, int status, Nanos now);
     void tick(Nanos now);
 
+    // Told to end: hands over, and may end once `mayEnd` says so.
+    void leave(Nanos now);
+    bool mayEnd() const { return departure_.over(); }
+
     Outputs takeOutputs() { return std::exchange(outputs_, {}); }
     // Members that a link is to be held to.
     std::set<std::string> toDial() const;
@@ -73,13 +79,18 @@
     void vote(int link, const Json& message);
     void flushProposer(Nanos now);
     void adopt(Core core);
-    void manage(Nanos now);
-    void changeCore(Core to, Nanos now);
+    void sendToVoter(const std::string& voter, Json message) override;
+    bool linkedTo(const std::string& member) const override;
+    std::set<std::string> registersHeld() const override;
+    void acceptAnew(const std::string& name, std::function<void(bool accepted)> done) override;
+    void writeCore(const Core& next, std::function<void()> done) override;
+    void logMembership(std::string line) override { outputs_.push_back(ToLog{std::move(line)}); }
+    void depart(Nanos now);
+    void ownRecord();
     void repair(Nanos now);
     void rounds(Nanos now);
     void ownDuties(Nanos now);
     bool votes() const { return core_.voters.count(self_) > 0 && !recovering_; }
-    bool here(const std::string& member) const;
     int linkTo(const std::string& member) const;
     void suspected(const Json& message, Nanos now);
     Json unsettledLeads() const;
@@ -93,16 +104,9 @@
     Proposer proposer_;
     Core core_;
     bool recovering_ = false;
-    // A change of who votes: the registers of those who answered, which are accepted anew before it.
-    struct Reform {
-        Core to;
-        std::set<std::string> heard, names;
-        Nanos since = 0, askedAt = 0;
-        int left = -1;  // still to be accepted anew; below nought: not begun
-    };
-    std::optional<Reform> reform_;
-    Nanos managedAt_ = 0, now_ = 0;
-    std::map<std::string, Nanos> memberSince_, voterAway_;
+    Nanos now_ = 0;
+    Membership membership_;
+    Departure departure_;
     std::map<std::string, Nanos> unannounced_;  // registers accepted here that nobody has said to stand
     Recovery recovery_;
     std::map<int, Peer> peers_;
--- /dev/null
+++ b/src/control/membership.cpp
@@ -0,0 +1,225 @@
+#include "control/membership.hpp"
+
+#include <algorithm>
+
+namespace granitereel::control {
+
+namespace {
+// A change of voters that has not come through by then is given up, and judged anew.
+constexpr Nanos reformWithin = millis(3000);
+// Links carry what is sent or end; a voter may have had no vote yet when it was asked.
+constexpr Nanos askAgain = millis(300);
+// After a change that the other voters did not bear out, or that failed, no other is tried for this long.
+constexpr Nanos pauseAfterFailure = millis(1000);
+}  // namespace
+
+MembershipTimes timesFor(int syncIn_ms) {
+    MembershipTimes times;
+    times.absent = millis(std::clamp(syncIn_ms / 4, 500, 2000));
+    times.settleAgain = times.absent;
+    times.afterStart = 3 * times.absent;
+    return times;
+}
+
+MemberStanding MemberStanding::fromJson(const Json& body) {
+    if (!body.is_object()) return {};
+    return {body.value("leaving", false), body.value("recovering", false)};
+}
+
+Json CensusRequest::toJson() const {
+    return {{"k", "census?"}, {"epoch", epoch}, {"voters", voters}, {"absent", absent}};
+}
+
+CensusRequest CensusRequest::fromJson(const Json& message) {
+    return {message.at("epoch").get<std::uint64_t>(), message.at("voters").get<std::set<std::string>>(),
+            message.at("absent").get<std::string>()};
+}
+
+Json CensusReply::toJson() const {
+    return {{"k", "census"}, {"epoch", epoch}, {"registers", registers}, {"hears_absent", hearsAbsent}};
+}
+
+CensusReply CensusReply::fromJson(const Json& message) {
+    return {message.at("epoch").get<std::uint64_t>(), message.at("registers").get<std::set<std::string>>(),
+            message.at("hears_absent").get<bool>()};
+}
+
+Membership::Membership(std::string self, const settings::Settings& settings, Means& means, Nanos now)
+    : self_(std::move(self)),
+      times_(timesFor(settings.syncIn_ms)),
+      fewestVoters_(fewestVotersFor(settings.tolerance)),
+      means_(means),
+      startedAt_(now) {}
+
+void Membership::adopted(const Core& before, const Core& core, Nanos now) {
+    for (const std::string& voter : before.voters)
+        if (!core.voters.count(voter) && absentFor(voter, 0, now)) lostVote_.insert(voter);
+    for (const std::string& voter : core.voters) lostVote_.erase(voter);
+    core_ = core;
+    adoptedAt_ = now;
+    reform_.reset();
+    needed_.reset();
+}
+
+bool Membership::leaves(const std::string& member) const {
+    const auto at = standing_.find(member);
+    return at != standing_.end() && at->second.leaving;
+}
+
+bool Membership::inReach(const std::string& member, Nanos now) const {
+    if (member == self_) return true;
+    const auto at = lastHeard_.find(member);
+    return at != lastHeard_.end() && now - at->second <= times_.silence && means_.linkedTo(member);
+}
+
+bool Membership::absentFor(const std::string& voter, Nanos bound, Nanos now) const {
+    const auto since = awaySince_.find(voter);
+    if (since == awaySince_.end() || inReach(voter, now)) return false;
+    // After a restart of all, members return one after the other.
+    if (!lastHeard_.count(voter) && !leaves(voter) && now - startedAt_ < times_.afterStart) return false;
+    return now - since->second >= bound;
+}
+
+void Membership::observe(Nanos now) {
+    for (const std::string& voter : core_.voters) {
+        if (inReach(voter, now))
+            awaySince_.erase(voter);
+        else
+            awaySince_.try_emplace(voter, now);
+    }
+    std::erase_if(presentSince_, [&](const auto& each) { return !inReach(each.first, now); });
+    for (const auto& [member, at] : lastHeard_)
+        if (inReach(member, now)) presentSince_.try_emplace(member, now);
+}
+
+VoterView Membership::view(Nanos now) const {
+    VoterView view;
+    view.voters = core_.voters;
+    view.fewestVoters = fewestVoters_;
+    for (const std::string& voter : core_.voters) {
+        if (inReach(voter, now)) {
+            if (leaves(voter)) view.departing.insert(voter);
+            continue;
+        }
+        view.unreachable.insert(voter);
+        if (absentFor(voter, leaves(voter) ? 0 : times_.absent, now)) view.absent.insert(voter);
+        if (absentFor(voter, leaves(voter) ? 0 : times_.absentForGood, now)) view.absentForGood.insert(voter);
+    }
+    std::vector<std::pair<Nanos, std::string>> bySince;
+    for (const auto& [member, since] : presentSince_) {
+        if (core_.voters.count(member) || !inReach(member, now)) continue;
+        const auto standing = standing_.find(member);
+        if (standing != standing_.end() && (standing->second.leaving || standing->second.recovering))
+            continue;
+        const Nanos settle = lostVote_.count(member) ? times_.settleAgain : times_.settle;
+        if (now - since >= settle) bySince.emplace_back(since, member);
+    }
+    std::sort(bySince.begin(), bySince.end());
+    for (auto& [since, member] : bySince) view.candidates.push_back(std::move(member));
+    return view;
+}
+
+// How many voters in reach come before this one: what any may do the first does, the next if it has not. One
+// that leaves comes behind those that stay.
+std::size_t Membership::rank(Nanos now) const {
+    return static_cast<std::size_t>(
+        std::count_if(core_.voters.begin(), core_.voters.end(), [&](const std::string& voter) {
+            return inReach(voter, now) && std::pair(leaves(voter), voter) < std::pair(leaves(self_), self_);
+        }));
+}
+
+void Membership::tick(bool votes, Nanos now) {
+    observe(now);
+    if (!votes || now < notBefore_) return;
+    if (reform_) {
+        if (now - reform_->since > reformWithin) return giveUp(now, "took too long");
+        if (!reform_->accepting && now - reform_->askedAt >= askAgain) ask(now);
+        return proceed(now);
+    }
+    const std::optional<VoterChange> change = nextVoterChange(view(now));
+    if (change != needed_) neededSince_ = now;
+    needed_ = change;
+    if (change && now - neededSince_ >= static_cast<Nanos>(rank(now)) * times_.turn) begin(*change, now);
+}
+
+void Membership::begin(const VoterChange& change, Nanos now) {
+    Reform reform;
+    reform.next = {core_.epoch + 1, votersAfter(core_.voters, change)};
+    reform.change = change;
+    reform.since = now;
+    reform.number = ++lastReform_;
+    reform.heard.insert(self_);
+    reform.registers = means_.registersHeld();
+    reform_ = std::move(reform);
+    ask(now);
+    proceed(now);
+}
+
+void Membership::ask(Nanos now) {
+    reform_->askedAt = now;
+    const bool absent = reform_->change.kind == VoterChange::Kind::removeAbsent;
+    const CensusRequest request{core_.epoch, core_.voters, absent ? reform_->change.member : ""};
+    for (const std::string& voter : core_.voters)
+        if (!reform_->heard.count(voter)) means_.sendToVoter(voter, request.toJson());
+}
+
+bool Membership::changing(Nanos now) const {
+    return reform_ || now - adoptedAt_ < askAgain;
+}
+
+CensusReply Membership::answer(const CensusRequest& request, Nanos now) const {
+    return {core_.epoch, means_.registersHeld(), !request.absent.empty() && inReach(request.absent, now)};
+}
+
+void Membership::heard(const std::string& voter, const CensusReply& reply, Nanos now) {
+    if (!reform_ || reply.epoch != core_.epoch || !core_.voters.count(voter)) return;
+    reform_->heard.insert(voter);
+    if (reply.hearsAbsent) reform_->hearing.insert(voter);
+    reform_->registers.insert(reply.registers.begin(), reply.registers.end());
+    proceed(now);
+}
+
+void Membership::proceed(Nanos now) {
+    if (reform_->accepting || reform_->heard.size() < core_.majority()) return;
+    if (reform_->change.kind == VoterChange::Kind::removeAbsent) {
+        if (inReach(reform_->change.member, now)) return giveUp(now, "it is in reach again");
+        // A majority must miss it: one member's lost link, either way, takes no vote from another.
+        if (core_.voters.size() - reform_->hearing.size() < core_.majority())
+            return giveUp(now, "others hear it");
+        if (reform_->heard.size() - reform_->hearing.size() < core_.majority()) return;
+    }
+    acceptAll();
+}
+
+// The next epoch's majorities meet those of the present one, not those before: what these have chosen is
+// accepted anew first.
+void Membership::acceptAll() {
+    reform_->accepting = true;
+    reform_->acceptancesLeft = reform_->registers.size();
+    const std::uint64_t number = reform_->number;
+    const std::set<std::string> registers = reform_->registers;
+    if (registers.empty()) return write();
+    for (const std::string& name : registers)
+        means_.acceptAnew(name, [this, number](bool accepted) {
+            if (!reform_ || reform_->number != number) return;
+            if (!accepted) return reform_.reset();
+            if (--reform_->acceptancesLeft == 0) write();
+        });
+}
+
+void Membership::write() {
+    if (std::exchange(reform_->writing, true)) return;
+    const std::uint64_t number = reform_->number;
+    means_.writeCore(reform_->next, [this, number] {
+        if (reform_ && reform_->number == number) reform_.reset();
+    });
+}
+
+void Membership::giveUp(Nanos now, const std::string& cause) {
+    means_.logMembership("change of voters given up at " + reform_->change.member + ": " + cause);
+    reform_.reset();
+    needed_.reset();
+    notBefore_ = now + pauseAfterFailure;
+}
+
+}  // namespace granitereel::control
--- a/src/control/outputs.hpp
+++ b/src/control/outputs.hpp
@@ -13,7 +13,7 @@
 using Json = nlohmann::json;
 
 // How a call ended. The table in answers.cpp turns each into what its caller is told.
-enum class Kind { taken, notSound, notFound, notAllowed, tooLarge, noMajority, unready };
+enum class Kind { taken, notSound, notFound, notAllowed, tooLarge, noMajority, unready, leaving };
 struct Reply {
     int status = 200;
     const char* text = "";
--- a/src/control/program.cpp
+++ b/src/control/program.cpp
@@ -27,6 +27,7 @@
           disk_(settings.dataPath),
           member_(begin()),
           ticker_(loop_),
+          lastAnswers_(loop_),
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
           listener_(loop_,
                     {asio::ip::make_address_v4(settings.ip), static_cast<unsigned short>(settings.firstPort)},
@@ -70,8 +71,11 @@
                 }
                 return listen();
             }
-            spdlog::info("control ends");
-            loop_.stop();
+            if (leaving_) return loop_.stop();  // told twice
+            leaving_ = true;
+            member_.leave(transport::steadyNow());
+            carryOut();
+            listen();
         });
     }
 
@@ -128,6 +132,14 @@
     void carryOut() {
         for (Outputs outputs = member_.takeOutputs(); !outputs.empty(); outputs = member_.takeOutputs())
             for (Output& output : outputs) std::visit([this](auto& each) { carry(each); }, output);
+        if (member_.mayEnd()) end();
+    }
+    // What was answered last gets the time to leave.
+    void end() {
+        if (std::exchange(ending_, true)) return;
+        spdlog::info("control ends");
+        lastAnswers_.expires_after(std::chrono::milliseconds(20));
+        lastAnswers_.async_wait([this](boost::system::error_code) { loop_.stop(); });
     }
     void carry(ToLink& out) {
         const auto at = links_.find(out.link);
@@ -168,7 +180,8 @@
     asio::io_context loop_;
     Disk disk_;
     ControlMember member_;
-    asio::steady_timer ticker_;
+    asio::steady_timer ticker_, lastAnswers_;
+    bool leaving_ = false, ending_ = false;
     asio::signal_set signals_;
     std::map<int, std::shared_ptr<Link>> links_;
     std::map<std::string, Dialled> dialled_;
--- a/src/control/register.hpp
+++ b/src/control/register.hpp
@@ -29,7 +29,7 @@
 
 // Who votes, and since which change of that. A change adds or takes away one voter, so that majorities of an
 // epoch and of the next have a member in common; before a further one all registers are accepted anew
-// (ControlMember::manage).
+// (Membership).
 struct Core {
     std::uint64_t epoch = 0;  // 0: not known
     std::set<std::string> voters;
@@ -99,6 +99,8 @@
     // "av")}.
     void heard(const std::string& from, const Json& answer, Nanos now);
     void tick(Nanos now);
+    // Whether no change is under way.
+    bool idle() const { return running_.empty(); }
     std::vector<Said> takeSaid() { return std::exchange(said_, {}); }
     // What the changes that ended without a majority were short of, for the log.
     std::vector<std::string> takeFailures() { return std::exchange(failures_, {}); }
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -25,6 +25,7 @@
     std::map<std::string, std::string> territoryOf;  // of each district
     int ramMb = 64, fileHandles = 1024;
     int beatInterval_ms = 1000, grace_ms = 5000, drain_ms = 5000, contact_ms = 4000, syncIn_ms = 4000;
+    int tolerance = 1;      // machines that may be lost at once
     std::string platform;   // address; empty: none
     bool promotes = false;  // whether promotions are the system's to make
 };
--- a/standins/control_world.hpp
+++ b/standins/control_world.hpp
@@ -27,7 +27,8 @@
         int incarnation = 0;
         std::map<std::string, int> dialled;
         std::map<std::uint64_t, std::pair<Kind, std::string>> answers;
-        int writesLeft = 1 << 30;  // it dies behind so many writes
+        int writesLeft = 1 << 30;    // it dies behind so many writes
+        int messagesLeft = 1 << 30;  // it dies behind so many messages sent
     };
     struct Packet {
         Nanos at;
@@ -40,6 +41,7 @@
     std::map<int, std::pair<std::string, int>> wires;  // link -> the other end
     std::map<std::string, std::uint64_t> lives;
     std::set<std::pair<std::string, std::string>> cut;
+    std::set<std::pair<std::string, std::string>> cutOneWay;  // from, to
     std::vector<Packet> packets;
     std::mt19937 chance;
     Nanos now = millis(1'000'000);
@@ -74,7 +76,7 @@
         Member& m = members[name];
         m.control.reset();
         ++lives[name];
-        m.writesLeft = 1 << 30;
+        m.writesLeft = m.messagesLeft = 1 << 30;
         for (auto it = wires.begin(); it != wires.end();) {
             if (it->second.first != name) {
                 ++it;
@@ -119,8 +121,9 @@
             } else if (auto* out = std::get_if<ToLink>(&each)) {
                 const auto wire = wires.find(out->link);
                 if (wire == wires.end()) continue;
+                if (m.messagesLeft-- <= 0) return kill(name);
                 const auto& [to, link] = wire->second;
-                if (!reach(name, to)) continue;
+                if (!reach(name, to) || cutOneWay.count({name, to})) continue;
                 packets.push_back(
                     {now + millis(1) + Nanos(chance() % 3'000'000), name, to, link, out->message, lives[to]});
                 // A link keeps its order.
