--- a/src/control/program.cpp
+++ b/src/control/program.cpp
@@ -62,6 +62,7 @@
                       asio::post(loop_, [this, report = std::move(report)] { diskReported(report); });
                   }),
           ticker_(loop_),
+          lastAnswers_(loop_),
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
           listener_(loop_,
                     {asio::ip::make_address_v4(settings.ip), static_cast<unsigned short>(settings.firstPort)},
@@ -130,8 +131,11 @@
                 }
                 return listen();
             }
-            spdlog::info("control ends");
-            loop_.stop();
+            if (leaving_) return loop_.stop();  // told twice
+            leaving_ = true;
+            member_.leave(transport::steadyNow());
+            carryOut();
+            listen();
         });
     }
 
@@ -192,6 +196,14 @@
                 if (!gate_.holds(output)) carry(output);
         // All at once: one wake-up of the disk's thread, one sync.
         if (!toDisk_.empty()) writer_.submit(std::exchange(toDisk_, {}), lastWrite_);
+        if (member_.mayEnd()) end();
+    }
+    // What was answered last gets the time to leave.
+    void end() {
+        if (std::exchange(ending_, true)) return;
+        spdlog::info("control ends");
+        lastAnswers_.expires_after(std::chrono::milliseconds(20));
+        lastAnswers_.async_wait([this](boost::system::error_code) { loop_.stop(); });
     }
     void carry(Output& output) {
         std::visit([this](auto& each) { carry(each); }, output);
@@ -246,7 +258,8 @@
     bool diskRefuses_ = false;
     int exitCode_ = EXIT_SUCCESS;
     DiskWriter writer_;
-    asio::steady_timer ticker_;
+    asio::steady_timer ticker_, lastAnswers_;
+    bool leaving_ = false, ending_ = false;
     asio::signal_set signals_;
     std::map<int, std::shared_ptr<Link>> links_;
     std::map<std::string, Dialled> dialled_;
--- a/src/control/register.hpp
+++ b/src/control/register.hpp
@@ -97,6 +97,8 @@
     // where this process was frozen and has not ticked since.
     void heard(const std::string& from, const Json& answer, Nanos now);
     void tick(Nanos now);
+    // Whether no change is under way.
+    bool idle() const { return running_.empty(); }
     std::vector<Said> takeSaid() { return std::exchange(said_, {}); }
     // What the changes that ended without a majority were short of, for the log.
     std::vector<std::string> takeFailures() { return std::exchange(failures_, {}); }
--- a/standins/control_world.hpp
+++ b/standins/control_world.hpp
@@ -33,7 +33,8 @@
         int incarnation = 0;
         std::map<std::string, int> dialled;
         std::map<std::uint64_t, std::pair<Kind, std::string>> answers;
-        int writesLeft = 1 << 30;  // it dies behind so many writes
+        int writesLeft = 1 << 30;    // it dies behind so many writes
+        int messagesLeft = 1 << 30;  // it dies behind so many messages sent
         // The disk: how long a sync takes (0: at once), and whether it takes bytes.
         Nanos syncTakes = 0;
         bool refuses = false;
@@ -102,7 +103,7 @@
         Member& m = members[name];
         m.control.reset();
         ++lives[name];
-        m.writesLeft = 1 << 30;
+        m.writesLeft = m.messagesLeft = 1 << 30;
         m.gate = {};
         m.unsynced.clear();
         m.syncing = 0;
@@ -186,6 +187,7 @@
                 ++m.writes;
             } else if (!m.gate.holds(each)) {
                 release(name, each);
+                if (!m.control) return;
             }
         }
     }
@@ -211,7 +213,10 @@
             m.unsynced.erase(m.unsynced.begin());
         }
         Outputs released = m.gate.durable(ticket);
-        for (Output& each : released) release(name, each);
+        for (Output& each : released) {
+            release(name, each);
+            if (!m.control) return false;
+        }
         return true;
     }
     void release(const std::string& name, Output& each) {
@@ -222,6 +227,7 @@
             const auto wire = wires.find(out->link);
             if (wire == wires.end()) return;
             const auto& [to, link] = wire->second;
+            if (m.messagesLeft-- <= 0) return kill(name);
             bytesSent[out->message.value("k", "")] += out->message.dump().size();
             packets.push_back(
                 {now + millis(1) + Nanos(chance() % 3'000'000), name, to, link, out->message, lives[to]});
