--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -239,18 +239,16 @@
 
 void ControlMember::stateTold(const std::string& voter, const Json& message) {
     const std::uint64_t epoch = message.at("e");
-    if (epoch != core_.epoch || !core_.voters.count(voter)) return;
-    if (reform_ && !recovering_) {
+    if (reform_ && !recovering_ && epoch == core_.epoch && core_.voters.count(voter)) {
         reform_->heard.insert(voter);
         for (const auto& [name, slot] : message.at("slots").items()) reform_->names.insert(name);
     }
-    if (!recovering_) return;
+    if (!recovering_ || !recovery_.answered(core_, voter, epoch)) return;
     for (const auto& [name, slot] : message.at("slots").items()) {
         if (!acceptor_.merge(name, readSlot(slot))) continue;
         outputs_.push_back(ToDisk{"slot/" + name, written(acceptor_.at(name))});
         unsettledLeads_.holds(name, acceptor_.at(name).value);
     }
-    recovery_.answered(core_, self_, voter, epoch);
     if (!recovery_.complete(core_, newestEpochSeen())) return;
     recovering_ = false;
     outputs_.push_back(ToDisk{"core", {{"epoch", core_.epoch}, {"voters", core_.voters}}});
--- a/src/control/recovery.cpp
+++ b/src/control/recovery.cpp
@@ -15,11 +15,10 @@
     return true;
 }
 
-void Recovery::answered(const Core& core, const std::string& self, const std::string& voter,
-                        std::uint64_t epoch) {
-    if (askedAt_ == 0 || epoch != core.epoch) return;
-    if (voter == self || !core.voters.count(voter)) return;
+bool Recovery::answered(const Core& core, const std::string& voter, std::uint64_t epoch) {
+    if (askedAt_ == 0 || epoch != core.epoch || !core.voters.count(voter)) return false;
     answered_.insert(voter);
+    return true;
 }
 
 bool Recovery::complete(const Core& core, std::uint64_t newestEpoch) const {
--- a/src/control/recovery.hpp
+++ b/src/control/recovery.hpp
@@ -20,8 +20,8 @@
     // Whether the voters are to be asked now. Where this member has no vote in the epoch, none of its earlier
     // answers counts there, and nothing is waited for.
     bool askNow(const Core& core, const std::string& self, Nanos now);
-    // An answer of a voter that votes, in this epoch.
-    void answered(const Core& core, const std::string& self, const std::string& voter, std::uint64_t epoch);
+    // An answer of another member that votes in this epoch; whether it counts.
+    bool answered(const Core& core, const std::string& voter, std::uint64_t epoch);
     // `newestEpoch`: the highest that the register of the epoch was seen accepted with. Where it is above the
     // present, the present may be over, and what was chosen since is not among the answers.
     bool complete(const Core& core, std::uint64_t newestEpoch) const;
--- a/src/control/register.cpp
+++ b/src/control/register.cpp
@@ -118,9 +118,10 @@
     request.ballot = running.ballot;
     request.core = core_;
     if (running.accepting) {
-        // Who holds what the value was made from is told what changed, where that is shorter.
+        // Who holds what the value was made from is told what changed, where that is shorter. So is one whose
+        // promise has not come yet: it most likely does, and says so where not.
         const auto promiser = running.promisers.find(voter);
-        const bool holdsBase = promiser != running.promisers.end() && promiser->second == running.best;
+        const bool holdsBase = promiser == running.promisers.end() || promiser->second == running.best;
         request.base = running.best;
         if (holdsBase && !running.patch.is_null() && !running.lacksBase.count(voter))
             request.patch = running.patch;
@@ -148,7 +149,6 @@
 
 void Proposer::lost(const std::string& voter) {
     linked_.erase(voter);
-    for (auto& [no, running] : running_) running.asked.erase(voter);
 }
 
 void Proposer::heard(const std::string& from, const Json& answer, Nanos now) {
