Let histories of registers change sides: a cut-off minority joined by one of the majority

Change: a trouble that cuts off a minority while the others take changes, then cuts one of these off with it, with its disk or without.

--- a/tests/system/history.cpp
+++ b/tests/system/history.cpp
@@ -126,7 +126,7 @@
     void trouble() {
         const std::string victim = anyone();
         World::Member& member = world_.members[victim];
-        switch (below(7)) {
+        switch (below(8)) {
             case 0:
                 return world_.kill(victim);
             case 1:
@@ -148,6 +148,8 @@
             case 5:
                 world_.frozen.insert(victim);
                 return;
+            case 6:
+                return changeSides();
             default:
                 // All lose power; one at a time comes back.
                 for (const auto& [name, other] : world_.members) {
@@ -158,6 +160,29 @@
                     if (below(4)) start(World::address(i)), step(millis(below(200)));
         }
     }
+    void cutBetween(const std::set<std::string>& some) {
+        world_.cut.clear();
+        for (const std::string& one : some)
+            for (const auto& [name, other] : world_.members)
+                if (!some.count(name)) world_.cut.insert({one, name});
+    }
+    // A minority is cut off while the others take changes; then one of these, with or without its disk, is
+    // cut off with it from the rest.
+    void changeSides() {
+        std::set<std::string> side;
+        while (static_cast<int>(side.size()) < (size_ - 1) / 2) side.insert(anyone());
+        cutBetween(side);
+        for (int i = 0; i < 4; ++i) call(), step(millis(60));
+        std::string changes = anyone();
+        while (side.count(changes)) changes = anyone();
+        world_.frozen.clear();
+        world_.kill(changes, mayWipe(changes) && below(2));
+        side.insert(changes);
+        cutBetween(side);
+        start(changes);
+        step(millis(1000 + below(1500)));
+        for (const std::string& name : side) read(name);
+    }
     void start(const std::string& name) {
         if (!world_.members[name].control) world_.start(name);
     }
