Tell a rename whose folder sync failed as failed; a test that sees each guard of the disk

Change: such a rename fails, and nothing is made, renamed or removed until the folder is synced, which is what keeps LevelDB from removing the manifest that CURRENT may lead to; the damage hits a value.

--- a/src/control/durable_env.cpp
+++ b/src/control/durable_env.cpp
@@ -65,8 +65,7 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         unsettled_ = parentOf(to);
     }
-    settle();
-    return status;
+    return settle();
 }
 
 leveldb::Status DurableEnv::RemoveFile(const std::string& path) {
@@ -93,7 +92,6 @@
     if (status.ok()) status = file->Sync();
     if (status.ok()) status = file->Close();
     if (status.ok()) status = env.RenameFile(temporary, path);
-    if (status.ok()) status = env.settle();
     return status;
 }
 
--- a/src/control/durable_env.hpp
+++ b/src/control/durable_env.hpp
@@ -21,9 +21,9 @@
 // The folder that a file or folder is named in.
 std::string parentOf(const std::string& path);
 
-// A name that was made or removed is durable when the call returns. One that was renamed is, too, or else the
-// folder is synced before any further name changes: by then there is no way back, and LevelDB, told of a
-// failure, would remove the very file that CURRENT leads to.
+// A name that was made, renamed or removed is durable when the call has succeeded. After a rename whose sync
+// failed there is no way back, and LevelDB removes the file that CURRENT may already lead to: so nothing is
+// made, renamed or removed before that folder is synced.
 class DurableEnv : public leveldb::EnvWrapper {
 public:
     // `target` outlives this; it is given back by LevelDB's EnvWrapper::target().
@@ -35,10 +35,10 @@
     leveldb::Status RemoveFile(const std::string& path) override;
     leveldb::Status CreateDir(const std::string& path) override;
     leveldb::Status RemoveDir(const std::string& path) override;
-    // Syncs the folder of a rename whose sync failed.
-    leveldb::Status settle();
 
 private:
+    // Syncs the folder of a rename, now or when it is tried again.
+    leveldb::Status settle();
     // A changed name is durable, or the call failed.
     leveldb::Status synced(leveldb::Status changed, const std::string& path);
     const FolderSync sync_;
--- a/tests/system/disks.cpp
+++ b/tests/system/disks.cpp
@@ -163,6 +163,7 @@
 }
 
 TEST(Disk, CountsADamagedStateAsLost) {
+    constexpr std::size_t insideFirstRecord = 20, insideValue = 1000;
     for (const char* const kind : {".log", "MANIFEST", ".ldb", "identity"}) {
         Lives lives;
         lives.under.CreateDir("/data");
@@ -173,7 +174,8 @@
         for (int write = 0; write < 3; ++write) lives.disk->write({{"small", write}});
         lives.disk.reset();
         for (const std::string& name : lives.under.files())
-            if (name.find(kind) != std::string::npos) lives.under.flip(name, 20);
+            if (name.find(kind) != std::string::npos)
+                lives.under.flip(name, name.ends_with(".ldb") ? insideValue : insideFirstRecord);
         ASSERT_TRUE(lives.open());
         lives.judge(kind);
         EXPECT_NE(lives.disk->incarnation(), lives.promisedAs) << kind;
