Confirm stores' calls by a majority under a lease; one configuration body a number

Need: a member cut off from the others acknowledged a store's winding_down and DELETE alone, from memory, and any body under a configuration number that was held or older was acknowledged.

Change: a member without a lease runs no call of a store or an operator; it waits 0.3 s for a lease, then answers 307 to a member that said on their links that it has one, else 503 (contact). A store's change is acknowledged once a majority of the voters holds its record (store_registry, StoreRecordReplicate and StoreRecordHeld); a member that started counts as a holder once it has heard a majority's boards. A store's new life is told by address, edition, slow start or a silence. The register's value of the configuration holds digests of the last 64 editions (edition_log); another body under a known number is answered 409.

--- a/src/control/answers.cpp
+++ b/src/control/answers.cpp
@@ -12,8 +12,12 @@
             return {404, "no such place"};
         case Kind::notAllowed:
             return {405, "no such method here"};
+        case Kind::conflict:
+            return {409, "conflicts with what was taken"};
         case Kind::tooLarge:
             return {413, "too large"};
+        case Kind::elsewhere:
+            return {307, "another member is in contact with a majority"};
         case Kind::noMajority:
             return {503, "no majority of the core answered in time"};
         case Kind::unready:
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -29,6 +29,11 @@
     const std::string both = member + '\n' + name;
     return XXH64(both.data(), both.size(), 0);
 }
+
+// A span told in microseconds; 0 where it is not.
+Nanos micros(const Json& message, const char* field) {
+    return message.value(field, Nanos(0)) * 1000;
+}
 }  // namespace
 
 ControlMember::ControlMember(const settings::Settings& settings, std::string incarnation,
@@ -39,7 +44,10 @@
       gossip_([this](int link, Json message) { send(link, std::move(message)); },
               [this](const std::string& name, const board::Record& record) { news(name, record); }),
       proposer_(self_, [this](const std::string& name) -> const Slot& { return acceptor_.at(name); }),
-      startedAt_(now) {
+      startedAt_(now),
+      // Steady time of the start: no link outlives the process, so it need differ only while one is open.
+      stores_(self_, self_ + "/" + std::to_string(now), settings.beatInterval_ms, *this, now),
+      operatorCalls_(*this) {
     now_ = now;
     for (const auto& [name, body] : disk) {
         if (name == "core") {
@@ -102,6 +110,7 @@
     const auto at = peers_.find(link);
     if (at == peers_.end()) return;
     if (!at->second.dialled.empty()) memberHeard_[at->second.dialled] = now;
+    if (linkTo(at->second.dialled) == link) contacts_.lost(at->second.dialled);
     peers_.erase(at);
     gossip_.leave(link);
 }
@@ -116,6 +125,7 @@
         adopt({record.body.at("epoch").get<std::uint64_t>(),
                record.body.at("voters").get<std::set<std::string>>()});
     unannounced_.erase(name);
+    stores_.news(name, record, now_);
 }
 
 namespace {
@@ -133,7 +143,9 @@
 
 // A register's value that is known to stand becomes a record for all.
 void ControlMember::learn(const std::string& name, const Json& value) {
-    if (!value.is_null()) gossip_.put(name, {versionOf(name, value), value});
+    if (value.is_null()) return;
+    const Json body = name == "config" ? EditionLog::fromJson(value).configuration() : value;
+    gossip_.put(name, {versionOf(name, value), body});
 }
 
 // How many voters in reach come before this one: what any may do the first does, the next if it has not.
@@ -149,6 +161,7 @@
 void ControlMember::heard(int link, const Json& message, Nanos now) {
     now_ = now;
     take(link, message, now);
+    serveWaiting(now);
     flushProposer(now);
 }
 
@@ -191,6 +204,13 @@
         }
     } else if (kind == "news" || kind == "whole?") {
         gossip_.heard(link, message);
+        // The first news of a link is the whole board.
+        if (kind == "news" && !peer.dialled.empty()) stores_.boardHeardFrom(peer.dialled);
+    } else if (kind == StoreRecordReplicate::kind) {
+        if (const auto reply = stores_.hold(StoreRecordReplicate::fromJson(message), now))
+            send(link, reply->toJson());
+    } else if (kind == StoreRecordHeld::kind) {
+        stores_.held(peer.dialled, StoreRecordHeld::fromJson(message), now);
     } else if (kind == "prepare" || kind == "accept") {
         vote(link, message);
     } else if (kind == "promised" || kind == "accepted" || kind == "refused") {
@@ -198,9 +218,14 @@
     } else if (kind == "stale") {
         adopt({message.at("e").get<std::uint64_t>(), message.at("c").get<std::set<std::string>>()});
     } else if (kind == "round") {
+        if (!peer.member.empty()) contacts_.heard(peer.member, micros(message, "lease_left_us"), now);
         if (votes() && message.at("e") == core_.epoch)
-            send(link, {{"k", "roundok"}, {"t", message.at("t")}, {"c", unsettledLeads()}});
+            send(link, {{"k", "roundok"},
+                        {"t", message.at("t")},
+                        {"c", unsettledLeads()},
+                        {"lease_left_us", leaseLeft()}});
     } else if (kind == "roundok") {
+        contacts_.heard(peer.dialled, micros(message, "lease_left_us"), now);
         const auto at = roundsOut_.find(message.at("t").get<std::uint64_t>());
         for (const auto& [service, seq] : message.at("c").items())
             markUnsettled(service, seq.get<std::uint64_t>());
@@ -325,7 +350,7 @@
     if (out.second.size() >= core_.majority()) leaseUntil_ = std::max(leaseUntil_, now + leaseTime);
     for (const std::string& voter : core_.voters)
         if (const int link = voter == self_ ? 0 : linkTo(voter))
-            send(link, {{"k", "round"}, {"t", no}, {"e", core_.epoch}});
+            send(link, {{"k", "round"}, {"t", no}, {"e", core_.epoch}, {"lease_left_us", leaseLeft()}});
 }
 
 std::uint64_t ControlMember::nextAsk(Succession& asker) {
@@ -355,54 +380,51 @@
     return known ? known->syncReplicas : 1;  // not known yet: as if it had some
 }
 
+void ControlMember::putRecord(const std::string& name, board::Record record) {
+    gossip_.put(name, std::move(record));
+}
+
+void ControlMember::sendTo(const std::string& voter, Json message) {
+    if (const int link = linkTo(voter)) send(link, std::move(message));
+}
+
+void ControlMember::beginChange(Change change, Nanos now, Nanos until) {
+    proposer_.begin(std::move(change), now, until);
+    flushProposer(now);
+}
+
 void ControlMember::call(std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
                          const std::string& body, Nanos now) {
     now_ = now;
     const std::string place = path.empty() ? "" : path[0];
     const std::string what = method + " " + place + (path.size() > 1 ? "/ID" : "");
+    openCalls_[call] = "/" + place + (path.size() > 1 ? "/" + path[1] : "");
     if (path.size() <= 2) {
         if (what == "PUT stores/ID") return storeCalled(call, path[1], body, now);
-        if (what == "DELETE stores/ID") return storeLeft(call, path[1]);
+        if (what == "DELETE stores/ID")
+            return whenLeased(
+                call, [this, call, id = path[1]](Nanos then) { stores_.left(call, id, then); }, now);
         if (what == "PUT config") return configSent(call, body, now);
-        if (what == "GET config") return configAsked(call, now);
+        if (what == "GET config")
+            return whenLeased(
+                call, [this, call](Nanos then) { operatorCalls_.get(call, then); }, now);
         if (what == "GET state") return answer(call, Kind::taken, state(now).dump());
     }
     const bool known = place == "config" || place == "stores" || place == "state";
     answer(call, known ? Kind::notAllowed : Kind::notFound);
 }
 
-void ControlMember::storeCalled(std::uint64_t call, const std::string& id, const std::string& body, Nanos) {
-    Json told, now;
-    std::uint64_t seq = 0;
+// What is invalid is so for any member; all else waits for contact with a majority.
+void ControlMember::storeCalled(std::uint64_t call, const std::string& id, const std::string& body,
+                                Nanos now) {
+    StoreCall said;
     try {
-        told = Json::parse(body);
-        now = {{"service", told.at("depot")},
-               {"address", told.at("address")},
-               {"district", told.value("district", "")},
-               {"berths", told.value("berths", 0)},
-               {"standing", told.value("standing", "accepting")},
-               {"role", told.value("db_role", "")}};
-        seq = told.value("call_seq", std::uint64_t(0));
+        said = StoreCall::fromJson(id, body);
     } catch (const Json::exception&) {
         return answer(call, Kind::notSound, R"({"fault":"not a store's call"})");
     }
-    const std::string name = "store/" + id;
-    const board::Record* known = board().find(name);
-    // A call that was overtaken is acknowledged and changes nothing; one that left does not come back by it.
-    const bool late = known && seq <= known->version.minor;
-    if (!late && (!known || known->body != now)) {
-        const std::uint64_t major = known ? known->version.major + 1 : 1;
-        gossip_.put(name, {{major, seq}, now});
-    }
-    answer(call, Kind::taken, "{}");
-}
-
-void ControlMember::storeLeft(std::uint64_t call, const std::string& id) {
-    const std::string name = "store/" + id;
-    const board::Record* known = board().find(name);
-    if (known && !known->body.is_null())
-        gossip_.put(name, {{known->version.major + 1, known->version.minor + 1'000'000}, nullptr});
-    answer(call, Kind::taken, "{}");
+    whenLeased(
+        call, [this, call, said](Nanos then) { stores_.called(call, said, then); }, now);
 }
 
 void ControlMember::configSent(std::uint64_t call, const std::string& body, Nanos now) {
@@ -413,34 +435,31 @@
     } catch (const configuration::Invalid& fault) {
         return answer(call, Kind::notSound, Json{{"fault", fault.what()}}.dump());
     }
-    if (!core_.epoch) return answer(call, Kind::unready);
-    proposer_.begin(
-        {"config",
-         [sent](const Json& was) {
-             if (was.is_object() && was.at("edition") >= sent.at("edition")) return was;
-             return sent;
-         },
-         [this, call](std::optional<Json> stands) {
-             if (!stands) return answer(call, Kind::noMajority);
-             learn("config", *stands);
-             answer(call, Kind::taken, "{}");
-             outputs_.push_back(ToLog{"configuration " + stands->at("edition").dump() + " acknowledged"});
-         }},
-        now, now + changeWithin);
-    flushProposer(now);
+    whenLeased(
+        call, [this, call, sent = std::move(sent)](Nanos then) { operatorCalls_.put(call, sent, then); },
+        now);
 }
 
-void ControlMember::configAsked(std::uint64_t call, Nanos now) {
-    if (!core_.epoch) return answer(call, Kind::unready);
-    proposer_.begin({"config", [](const Json& was) { return was; },
-                     [this, call](std::optional<Json> stands) {
-                         if (!stands) return answer(call, Kind::noMajority);
-                         if (stands->is_null()) return answer(call, Kind::notFound);
-                         learn("config", *stands);
-                         answer(call, Kind::taken, stands->dump());
-                     }},
-                    now, now + changeWithin);
-    flushProposer(now);
+void ControlMember::whenLeased(std::uint64_t call, std::function<void(Nanos)> run, Nanos now) {
+    if (leased(now)) return run(now);
+    waiting_.add(call, openCalls_[call], std::move(run), now);
+}
+
+// What failed for want of a majority is sent on to a member that has one, where one is known.
+void ControlMember::answerOrSendOn(std::uint64_t call, Kind kind, std::string body) {
+    const bool failed = kind == Kind::noMajority || kind == Kind::unready;
+    if (!failed) return answer(call, kind, std::move(body));
+    const std::optional<std::string> member = leased(now_) ? std::nullopt : contacts_.best(now_);
+    if (!member) return answer(call, kind);
+    outputs_.push_back(ToCaller{call, Kind::elsewhere, {}, "http://" + *member + openCalls_[call]});
+    openCalls_.erase(call);
+}
+
+void ControlMember::serveWaiting(Nanos now) {
+    if (leased(now))
+        for (const WaitingCalls::Call& each : waiting_.takeAll()) each.run(now);
+    for (const WaitingCalls::Call& each : waiting_.takeOverdue(now))
+        answerOrSendOn(each.number, Kind::noMajority, {});
 }
 
 void ControlMember::suspected(const Json& message, Nanos now) {
@@ -617,6 +636,8 @@
     gossip_.own("member/" + self_,
                 {{"station", settings_.station}, {"district", settings_.district}, {"ip", settings_.ip}});
     rounds(now);
+    stores_.tick(now);
+    serveWaiting(now);
     proposer_.tick(now);
     for (std::string& text : proposer_.takeFailures()) outputs_.push_back(ToLog{std::move(text)});
     if (recovering_ && now - recovery_.askedAt >= millis(300)) {
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -3,6 +3,7 @@
 // of each service. Free of I/O, clocks and chance: time comes in, outputs go out.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -11,15 +12,18 @@
 
 #include "board/gossip.hpp"
 #include "configuration/configuration.hpp"
+#include "control/contact.hpp"
+#include "control/operator_calls.hpp"
 #include "control/outputs.hpp"
 #include "control/register.hpp"
+#include "control/store_registry.hpp"
 #include "control/succession.hpp"
 #include "nanos.hpp"
 #include "settings/settings.hpp"
 
 namespace granitereel::control {
 
-class ControlMember : public Succession::Means {
+class ControlMember : public Succession::Means, private StoreRegistry::Means, private OperatorCalls::Means {
 public:
     // `incarnation`: drawn anew when the disk is empty, else as it was. `disk`: what was written, by name.
     ControlMember(const settings::Settings& settings, std::string incarnation,
@@ -57,16 +61,32 @@
     const board::Board& board() const override { return gossip_.board(); }
     int syncReplicas(const std::string& service) const override;
 
+    void putRecord(const std::string& name, board::Record record) override;
+    void sendTo(const std::string& voter, Json message) override;
+    const Core& core() const override { return core_; }
+    void answerStore(std::uint64_t call, Kind kind) override { answerOrSendOn(call, kind, "{}"); }
+
+    void beginChange(Change change, Nanos now, Nanos until) override;
+    void configurationStands(const Json& value) override { learn("config", value); }
+    void answerOperator(std::uint64_t call, Kind kind, std::string body) override {
+        answerOrSendOn(call, kind, std::move(body));
+    }
+    void log(std::string line) override { outputs_.push_back(ToLog{std::move(line)}); }
+
     void send(int link, Json message) { outputs_.push_back(ToLink{link, std::move(message)}); }
     void answer(std::uint64_t call, Kind kind, std::string body = {}) {
-        outputs_.push_back(ToCaller{call, kind, std::move(body)});
+        openCalls_.erase(call);
+        outputs_.push_back(ToCaller{call, kind, std::move(body), {}});
     }
     void take(int link, const Json& message, Nanos now);
     void news(const std::string& name, const board::Record& record);
     void storeCalled(std::uint64_t call, const std::string& id, const std::string& body, Nanos now);
-    void storeLeft(std::uint64_t call, const std::string& id);
     void configSent(std::uint64_t call, const std::string& body, Nanos now);
-    void configAsked(std::uint64_t call, Nanos now);
+    bool leased(Nanos now) const { return core_.epoch && now < leaseUntil_; }
+    Json leaseLeft() const { return std::max<Nanos>(0, leaseUntil_ - now_) / 1000; }
+    void whenLeased(std::uint64_t call, std::function<void(Nanos now)> run, Nanos now);
+    void answerOrSendOn(std::uint64_t call, Kind kind, std::string body);
+    void serveWaiting(Nanos now);
     void learn(const std::string& name, const Json& value);
     bool said(const std::string& name, const Json& value) const;
     std::size_t rank() const;
@@ -116,6 +136,11 @@
     Nanos roundAt_ = 0, leaseUntil_ = 0, startedAt_, readAt_ = 0;
     std::map<std::uint64_t, std::pair<Nanos, std::set<std::string>>> roundsOut_;
     configuration::Configuration configuration_;
+    StoreRegistry stores_;
+    OperatorCalls operatorCalls_;
+    Contacts contacts_;
+    WaitingCalls waiting_;
+    std::map<std::uint64_t, std::string> openCalls_;  // paths of those under way
 };
 
 // How long what was told of leads may be believed, counted from when the question for it was sent.
--- /dev/null
+++ b/src/control/operator_calls.hpp
@@ -0,0 +1,41 @@
+// The operator's calls at a member: a configuration is put into and read from the register by a majority.
+// Free of I/O, clocks and chance.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "control/edition_log.hpp"
+#include "control/outputs.hpp"
+#include "control/register.hpp"
+#include "nanos.hpp"
+
+namespace granitereel::control {
+
+class OperatorCalls {
+public:
+    // What is needed of the member.
+    struct Means {
+        virtual ~Means() = default;
+        virtual void beginChange(Change change, Nanos now, Nanos until) = 0;
+        // The register's value that was seen to stand.
+        virtual void configurationStands(const Json& value) = 0;
+        virtual void answerOperator(std::uint64_t call, Kind kind, std::string body) = 0;
+        virtual void log(std::string line) = 0;
+    };
+    explicit OperatorCalls(Means& means) : means_(means) {}
+
+    // PUT /config with a body that was found valid.
+    void put(std::uint64_t call, const Json& sent, Nanos now);
+    // GET /config.
+    void get(std::uint64_t call, Nanos now);
+
+    // A call that has no majority by then is answered, with a tick of 50 ms within the second that callers
+    // wait. A configuration then may stand or not; the same body may be sent again anywhere.
+    static constexpr Nanos answeredWithin = millis(850);
+
+private:
+    Means& means_;
+};
+
+}  // namespace granitereel::control
--- a/src/control/outputs.hpp
+++ b/src/control/outputs.hpp
@@ -13,7 +13,7 @@
 using Json = nlohmann::json;
 
 // How a call ended. The table in answers.cpp turns each into what its caller is told.
-enum class Kind { taken, notSound, notFound, notAllowed, tooLarge, noMajority, unready };
+enum class Kind { taken, notSound, notFound, notAllowed, conflict, tooLarge, elsewhere, noMajority, unready };
 struct Reply {
     int status = 200;
     const char* text = "";
@@ -31,7 +31,8 @@
 struct ToCaller {
     std::uint64_t call = 0;
     Kind kind = Kind::taken;
-    std::string body;  // JSON; empty: what the table says
+    std::string body;      // JSON; empty: what the table says
+    std::string location;  // where the caller is sent on to, with Kind::elsewhere
 };
 // A statement of control's own at a store: STATUS, PAUSE term, RESUME or STEPDOWN term.
 struct ToStore {
--- a/src/control/program.cpp
+++ b/src/control/program.cpp
@@ -137,7 +137,8 @@
     void carry(ToCaller& out) {
         const Reply reply = replyOf(out.kind);
         http_.answer(out.call, reply.status,
-                     out.body.empty() ? nlohmann::json{{"fault", reply.text}}.dump() : out.body);
+                     out.body.empty() ? nlohmann::json{{"fault", reply.text}}.dump() : out.body,
+                     out.location);
     }
     void carry(ToLog& out) { spdlog::info("{}", out.line); }
     void carry(ToStore& out) {
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -48,13 +48,14 @@
         stream.expires_never();
         server.onCall_(call, std::string(request.method_string()), path, request.body());
     }
-    void answer(int status, const std::string& body) {
+    void answer(int status, const std::string& body, const std::string& location = {}) {
         const auto self = std::exchange(waiting, nullptr);
         response = {};
         response.version(11);
         response.result(static_cast<unsigned>(status));
         response.keep_alive(!last);
         if (!body.empty()) response.set(http::field::content_type, "application/json");
+        if (!location.empty()) response.set(http::field::location, location);
         response.body() = body;
         response.prepare_payload();
         stream.expires_after(callerRests);
@@ -108,12 +109,13 @@
     });
 }
 
-void HttpServer::answer(std::uint64_t call, int status, const std::string& body) {
+void HttpServer::answer(std::uint64_t call, int status, const std::string& body,
+                        const std::string& location) {
     const auto at = open_.find(call);
     if (at == open_.end()) return;
     const auto session = at->second.lock();
     open_.erase(at);
-    if (session) session->answer(status, body);
+    if (session) session->answer(status, body, location);
 }
 
 void HttpServer::stop() {
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -22,8 +22,8 @@
     // Throws boost::system::system_error where it can't listen.
     HttpServer(asio::io_context& loop, const tcp::endpoint& where, std::size_t bodyLimit, OnCall onCall);
     ~HttpServer();
-    // `body` empty: none. Calls whose caller has gone are passed over.
-    void answer(std::uint64_t call, int status, const std::string& body);
+    // `body` empty: none. `location` empty: no such header. Calls whose caller has gone are passed over.
+    void answer(std::uint64_t call, int status, const std::string& body, const std::string& location = {});
     void stop();
 
 private:
--- a/standins/control_world.hpp
+++ b/standins/control_world.hpp
@@ -27,7 +27,8 @@
         int incarnation = 0;
         std::map<std::string, int> dialled;
         std::map<std::uint64_t, std::pair<Kind, std::string>> answers;
-        int writesLeft = 1 << 30;  // it dies behind so many writes
+        std::map<std::uint64_t, std::string> locations;  // where callers were sent on to
+        int writesLeft = 1 << 30;                        // it dies behind so many writes
     };
     struct Packet {
         Nanos at;
@@ -40,6 +41,7 @@
     std::map<int, std::pair<std::string, int>> wires;  // link -> the other end
     std::map<std::string, std::uint64_t> lives;
     std::set<std::pair<std::string, std::string>> cut;
+    std::set<std::pair<std::string, std::string>> mute;  // from, to: what is sent this way is lost
     std::vector<Packet> packets;
     std::mt19937 chance;
     Nanos now = millis(1'000'000);
@@ -120,7 +122,7 @@
                 const auto wire = wires.find(out->link);
                 if (wire == wires.end()) continue;
                 const auto& [to, link] = wire->second;
-                if (!reach(name, to)) continue;
+                if (!reach(name, to) || mute.count({name, to})) continue;
                 packets.push_back(
                     {now + millis(1) + Nanos(chance() % 3'000'000), name, to, link, out->message, lives[to]});
                 // A link keeps its order.
@@ -128,6 +130,7 @@
                     if (p.linkTo == link) packets.back().at = std::max(packets.back().at, p.at + 1);
             } else if (auto* answer = std::get_if<ToCaller>(&each)) {
                 m.answers[answer->call] = {answer->kind, answer->body};
+                m.locations[answer->call] = answer->location;
             }
         }
     }
--- /dev/null
+++ b/tests/system/calls.cpp
@@ -0,0 +1,441 @@
+// The calls of stores and of operators at members of control, in virtual time: what a member that is cut off
+// answers, what an acknowledgement is worth, and that one number stands for one body.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <random>
+
+#include "control/edition_log.hpp"
+#include "standins/control_world.hpp"
+
+namespace {
+using namespace granitereel;
+using namespace granitereel::control;
+
+unsigned seedsOr(unsigned usual) {
+    const char* const more = std::getenv("SEEDS");
+    return more ? static_cast<unsigned>(std::stoul(more)) : usual;
+}
+
+struct Beat {
+    std::uint64_t number = 1;
+    std::string standing = "accepting", address = "10.9.0.1:80";
+    int coldLeft_ms = 0;
+    std::string role = "branch_office";
+};
+
+struct World : standins::ControlWorld {
+    using ControlWorld::ControlWorld;
+    std::uint64_t call(const std::string& at, const std::string& method, const std::vector<std::string>& path,
+                       const std::string& body = {}) {
+        members[at].control->call(++lastCall, method, path, body, now);
+        carry(at);
+        return lastCall;
+    }
+    std::uint64_t beat(const std::string& at, const std::string& id, const Beat& said) {
+        return call(at, "PUT", {"stores", id},
+                    Json{{"depot", "svc"},
+                         {"address", said.address},
+                         {"edition", "v1"},
+                         {"standing", said.standing},
+                         {"cold_left_ms", said.coldLeft_ms},
+                         {"db_role", said.role},
+                         {"call_seq", said.number}}
+                        .dump());
+    }
+    std::uint64_t leave(const std::string& at, const std::string& id) {
+        return call(at, "DELETE", {"stores", id});
+    }
+    bool answered(const std::string& at, std::uint64_t no) { return members[at].answers.count(no) > 0; }
+    Kind kind(const std::string& at, std::uint64_t no) { return members[at].answers.at(no).first; }
+    // Runs until the call is answered; how long that took.
+    Nanos await(const std::string& at, std::uint64_t no) {
+        const Nanos from = now;
+        while (!answered(at, no) && now - from < millis(3000)) step();
+        return now - from;
+    }
+    const board::Record* store(const std::string& at, const std::string& id) {
+        return static_cast<const Succession::Means&>(*members[at].control).board().find("store/" + id);
+    }
+    std::string standing(const std::string& at, const std::string& id) {
+        const board::Record* record = store(at, id);
+        return !record ? "unknown" : record->body.is_null() ? "gone" : record->body.at("standing");
+    }
+    void cutOff(const std::string& member, bool sends, bool hears) {
+        for (auto& [name, m] : members)
+            if (name != member) {
+                if (!sends) mute.insert({member, name});
+                if (!hears) mute.insert({name, member});
+            }
+    }
+    // What was lost on a link ends it: both sides hear of that, and it is made anew.
+    void heal() {
+        for (const auto& [from, to] : std::exchange(mute, {}))
+            for (auto wire = wires.begin(); wire != wires.end();) {
+                const int link = wire->first;
+                const std::string end = ends[link], other = wire->second.first;
+                const bool lost = (end == from && other == to) || (end == to && other == from);
+                wire = lost ? wires.erase(wire) : std::next(wire);
+                if (!lost || !members[end].control) continue;
+                members[end].control->linkDown(link, now);
+                for (auto& [member, dialled] : members[end].dialled)
+                    if (dialled == link) dialled = 0;
+            }
+    }
+};
+
+const std::string a = World::address(0), b = World::address(1), c = World::address(2);
+
+// 20 s on the wrong side, with restarts of the cut side and then of the others.
+TEST(Calls, OfAMemberThatIsCutOffAreSentOnWithinTheSecond) {
+    Nanos longest = 0;
+    for (const auto& [sends, hears] : {std::pair{false, false}, {false, true}, {true, false}})
+        for (const bool restarts : {false, true}) {
+            World world(3, 0, 21);
+            world.run(millis(1500));
+            world.cutOff(b, sends, hears);
+            std::set<std::string> left;
+            std::uint64_t edition = 100;
+            const Nanos cutAt = world.now;
+            for (int turn = 0; world.now < cutAt + millis(20'000); ++turn) {
+                const std::string id = "i-" + std::to_string(turn);
+                if (restarts && turn == 6) world.kill(b), world.start(b);
+                if (restarts && turn == 12) world.kill(c), world.start(c), world.run(millis(1500));
+                // The lease that was had at the cut may outlive it for its time.
+                const bool contact = world.now - cutAt < leaseTime;
+                const auto on = [&](std::uint64_t no) {
+                    longest = std::max(longest, world.await(b, no));
+                    ASSERT_TRUE(world.answered(b, no));
+                    if (contact) return;
+                    EXPECT_TRUE(world.kind(b, no) == Kind::noMajority ||
+                                world.kind(b, no) == Kind::elsewhere);
+                    // Who hears the others knows one that is in contact.
+                    if (!sends && hears && !restarts) {
+                        EXPECT_EQ(world.kind(b, no), Kind::elsewhere);
+                        EXPECT_TRUE(world.members[b].locations[no].starts_with("http://10.0.0."));
+                    }
+                };
+                on(world.put(b, 1'000'000 + edition, "cut"));
+                on(world.call(b, "GET", {"config"}));
+                on(world.beat(b, id, {}));
+                on(world.beat(b, id, {2, "winding_down"}));
+                on(world.leave(b, id));
+                const std::string at = turn % 2 ? a : c;
+                const auto order = world.put(at, ++edition, "kept");
+                const auto leaving = world.beat(at, id, {3, "winding_down"});
+                world.await(at, order), world.await(at, leaving);
+                if (!contact) {
+                    EXPECT_EQ(world.kind(at, order), Kind::taken) << turn;
+                    EXPECT_EQ(world.kind(at, leaving), Kind::taken) << turn;
+                }
+                if (world.kind(at, leaving) == Kind::taken) left.insert(id);
+            }
+            world.heal();
+            if (restarts) world.run(millis(2000)), world.kill(a), world.start(a);
+            world.run(millis(3000));
+            for (const std::string& at : {a, b, c}) {
+                const auto read = world.get(at);
+                ASSERT_TRUE(read);
+                EXPECT_EQ(read->at("edition"), edition) << at;
+                EXPECT_FALSE(read->contains("digests"));
+                for (const std::string& id : left) EXPECT_EQ(world.standing(at, id), "winding_down") << at;
+            }
+        }
+    EXPECT_LT(longest, millis(1000));
+    RecordProperty("longest_ms", static_cast<int>(longest / millis(1)));
+    std::printf("longest answer of a member that is cut off: %d ms\n", static_cast<int>(longest / millis(1)));
+}
+
+// The member that took a store's leaving dies the moment that it has said so, and any of its links had
+// failed.
+TEST(Calls, OfAStoreThatLeavesOutliveTheMemberThatTookThem) {
+    int taken = 0;
+    for (const int size : {3, 5})
+        for (const bool deletes : {false, true})
+            for (int lost = 0; lost < 1 << (size - 1); ++lost) {
+                World world(3, size - 3, static_cast<unsigned>(lost + 1));
+                world.run(millis(4000));
+                world.await(a, world.beat(a, "i-1", {}));
+                world.run(millis(200));
+                for (int i = 1; i < size; ++i)
+                    if (lost >> (i - 1) & 1) world.mute.insert({a, World::address(i)});
+                const auto no = deletes ? world.leave(a, "i-1") : world.beat(a, "i-1", {2, "winding_down"});
+                EXPECT_LT(world.await(a, no), millis(1000));
+                const bool acknowledged = world.kind(a, no) == Kind::taken;
+                world.kill(a);
+                world.run(millis(1500));
+                if (lost + 1 == 1 << (size - 1)) {
+                    EXPECT_FALSE(acknowledged);
+                }
+                taken += acknowledged;
+                for (int i = 1; i < size && acknowledged; ++i)
+                    EXPECT_EQ(world.standing(World::address(i), "i-1"), deletes ? "gone" : "winding_down");
+            }
+    EXPECT_GT(taken, 16);
+}
+
+// Said again to one that heard it over the board alone, while the member that took it is dead.
+TEST(Calls, ThatRepeatALeavingAreAcknowledgedByAMajorityToo) {
+    World world(3, 0, 5);
+    world.run(millis(1500));
+    world.await(a, world.beat(a, "i-1", {}));
+    world.run(millis(200));
+    world.mute = {{a, c}, {b, c}, {b, a}};
+    world.beat(a, "i-1", {2, "winding_down"});
+    world.run(millis(20));
+    ASSERT_EQ(world.standing(b, "i-1"), "winding_down");
+    world.kill(a);
+    const auto again = world.beat(b, "i-1", {3, "winding_down"});
+    EXPECT_LT(world.await(b, again), millis(1000));
+    EXPECT_NE(world.kind(b, again), Kind::taken);
+}
+
+// A member that is behind takes an overtaken call; one that started again has forgotten what it held.
+TEST(Calls, ThatWereOvertakenAreNotTakenByWhoeverIsBehind) {
+    for (const bool forgot : {false, true}) {
+        World world(3, 0, 9);
+        world.run(millis(1500));
+        world.await(a, world.beat(a, "i-1", {}));
+        world.run(millis(200));
+        world.cutOff(c, false, false);
+        const auto leaving = world.beat(a, "i-1", {3, "winding_down"});
+        world.await(a, leaving);
+        ASSERT_EQ(world.kind(a, leaving), Kind::taken);
+        world.heal();
+        // The board's own news of it does not reach the third; what it asks does reach the second.
+        world.mute = {{a, c}, {c, a}};
+        if (forgot) {
+            world.cut = {{a, b}};
+            world.kill(b), world.start(b);
+            world.run(millis(100));
+        }
+        const auto late = world.beat(c, "i-1", {2, "accepting", "10.9.0.1:80", 0, "head_office"});
+        world.await(c, late);
+        if (forgot) {
+            EXPECT_NE(world.kind(c, late), Kind::taken);
+        } else {
+            EXPECT_EQ(world.kind(c, late), Kind::taken);
+            EXPECT_EQ(world.standing(c, "i-1"), "winding_down");
+            EXPECT_EQ(world.standing(b, "i-1"), "winding_down");
+        }
+    }
+}
+
+// Two changes of the board are still under way to the member that takes the third.
+TEST(Calls, AtAMemberThatIsBehindStandAboveWhatItDidNotKnow) {
+    for (const bool deletes : {false, true}) {
+        World world(3, 0, 9);
+        world.run(millis(1500));
+        world.await(a, world.beat(a, "i-1", {}));
+        world.run(millis(200));
+        world.mute = {{a, c}, {b, c}};
+        world.await(a, world.beat(a, "i-1", {2, "accepting", "10.9.0.1:80", 0, "head_office"}));
+        world.await(a, world.beat(a, "i-1", {3}));
+        world.mute.clear();
+        const auto no = deletes ? world.leave(c, "i-1") : world.beat(c, "i-1", {4, "winding_down"});
+        world.await(c, no);
+        ASSERT_EQ(world.kind(c, no), Kind::taken);
+        world.run(millis(100));
+        for (const std::string& at : {a, b, c})
+            EXPECT_EQ(world.standing(at, "i-1"), deletes ? "gone" : "winding_down");
+    }
+    // Of a store that it does not know at all.
+    World world(3, 0, 9);
+    world.run(millis(1500));
+    world.mute = {{a, c}, {b, c}};
+    world.await(a, world.beat(a, "i-1", {}));
+    world.mute.clear();
+    world.await(c, world.leave(c, "i-1"));
+    world.run(millis(100));
+    for (const std::string& at : {a, b, c}) EXPECT_EQ(world.standing(at, "i-1"), "gone");
+}
+
+TEST(Calls, OfAnUnchangedStoreCostNoMessages) {
+    World world(3, 0, 5);
+    world.run(millis(1500));
+    const auto sentBy = [&](const std::function<void()>& does) {
+        world.run(millis(300));
+        const std::size_t before = world.packets.size();
+        does();
+        return world.packets.size() - before;
+    };
+    // The first goes to the two others, as the board's news and to be held.
+    EXPECT_EQ(sentBy([&] { world.beat(a, "i-1", {1}); }), 6u);
+    EXPECT_EQ(sentBy([&] { world.beat(a, "i-1", {2}); }), 0u);
+    EXPECT_EQ(world.kind(a, world.lastCall), Kind::taken);
+    EXPECT_EQ(sentBy([&] { world.beat(a, "i-1", {3, "winding_down"}); }), 6u);
+    EXPECT_EQ(sentBy([&] { world.beat(a, "i-1", {4, "winding_down"}); }), 0u);
+    EXPECT_EQ(world.kind(a, world.lastCall), Kind::taken);
+}
+
+// A store that is started again counts from 1: at another address, slow from its start, or after a silence.
+TEST(Calls, OfANewLifeAreHeardAndOvertakenOnesAreNot) {
+    std::vector<int> order{0, 1, 2, 3};
+    do {
+        World world(3, 0, 5);
+        world.run(millis(1500));
+        world.await(a, world.beat(a, "i-1", {50}));
+        bool gone = false;
+        std::mt19937 chance(static_cast<unsigned>(order[0] * 64 + order[1] * 16 + order[2] * 4 + order[3]));
+        for (const int what : order) {
+            const std::string at = World::address(static_cast<int>(chance() % 3));
+            if (what == 0) world.beat(at, "i-1", {52, "winding_down"});
+            if (what == 1) world.beat(at, "i-1", {51});
+            if (what == 2) world.leave(at, "i-1"), gone = true;
+            if (what == 3) world.beat(at, "i-1", {1, "accepting", "10.9.0.2:80"}), gone = false;
+            world.run(millis(30));
+        }
+        for (const std::string& at : {a, b, c}) {
+            EXPECT_EQ(world.standing(at, "i-1"), gone ? "gone" : "accepting")
+                << testing::PrintToString(order);
+            if (!gone) {
+                EXPECT_EQ(world.store(at, "i-1")->body.at("address"), "10.9.0.2:80");
+            }
+        }
+    } while (std::next_permutation(order.begin(), order.end()));
+
+    for (const bool cold : {true, false})
+        for (const bool deleted : {true, false}) {
+            World world(3, 0, 5);
+            world.run(millis(1500));
+            world.await(a, world.beat(a, "i-1", {50}));
+            if (deleted) world.await(a, world.leave(a, "i-1"));
+            world.run(millis(300));
+            const std::string before = world.standing(b, "i-1");
+            world.await(b, world.beat(b, "i-1", {1, "winding_down"}));
+            EXPECT_EQ(world.standing(b, "i-1"), before);  // as one that was overtaken
+            EXPECT_EQ(world.kind(b, world.lastCall), deleted ? Kind::taken : Kind::unready);
+            if (!cold) world.run(StoreRegistry::lateBeats * millis(1000));
+            world.await(b, world.beat(b, "i-1", {2, "accepting", "10.9.0.1:80", cold ? 20'000 : 0}));
+            world.await(c, world.beat(c, "i-1", {3, "winding_down"}));
+            for (const std::string& at : {a, b, c}) EXPECT_EQ(world.standing(at, "i-1"), "winding_down");
+        }
+}
+
+TEST(Calls, ThatAProcessFindsWhenItWakesAreNoNewLife) {
+    World world(1, 0, 5);
+    world.run(millis(500));
+    world.beat(a, "i-1", {3, "winding_down"});
+    world.now += millis(20'000);
+    const auto late = world.beat(a, "i-1", {2});
+    world.await(a, late);
+    EXPECT_EQ(world.kind(a, late), Kind::taken);
+    EXPECT_EQ(world.standing(a, "i-1"), "winding_down");
+}
+
+// Two operators, two members, one number; each is sent once or twice, in every order, at once or in turn.
+TEST(Calls, OfTwoOperatorsUnderOneNumberPutOneBodyInForce) {
+    std::vector<int> order{0, 1, 2, 3};  // X at a, X at b, Y at b, Y at c
+    unsigned seed = 0;
+    do {
+        for (const int gap_ms : {0, 2, 5, 400}) {
+            World world(3, 0, ++seed);
+            world.run(millis(1500));
+            std::vector<std::pair<std::string, std::uint64_t>> calls(4);
+            for (const int what : order) {
+                const std::string at = what == 0 ? a : what == 3 ? c : b;
+                calls[static_cast<std::size_t>(what)] = {at, world.put(at, 7, what < 2 ? "X" : "Y")};
+                world.run(millis(gap_ms));
+            }
+            world.run(millis(950));
+            const auto read = world.get(a);
+            ASSERT_TRUE(read);
+            for (int what = 0; what < 4; ++what) {
+                const auto& [at, no] = calls[static_cast<std::size_t>(what)];
+                ASSERT_TRUE(world.answered(at, no));
+                const bool inForce = read->at("mark") == (what < 2 ? "X" : "Y");
+                if (world.kind(at, no) == Kind::noMajority) continue;
+                EXPECT_EQ(world.kind(at, no), inForce ? Kind::taken : Kind::conflict);
+            }
+        }
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(Calls, ThatRepeatAnOrderAreAcknowledgedAfterManyOthers) {
+    World world(3, 0, 5);
+    world.run(millis(1500));
+    const auto put = [&](const std::string& at, std::uint64_t edition, const std::string& mark) {
+        const auto no = world.put(at, edition, mark);
+        world.await(at, no);
+        return world.kind(at, no);
+    };
+    EXPECT_EQ(put(a, 10, "first"), Kind::taken);
+    std::uint64_t edition = 10;
+    for (const std::uint64_t further : {1, 10, 60}) {
+        while (edition < 10 + further) EXPECT_EQ(put(a, ++edition, "later"), Kind::taken);
+        EXPECT_EQ(put(b, 10, "first"), Kind::taken) << further;
+        EXPECT_EQ(put(c, 10, "other"), Kind::conflict) << further;
+    }
+    EXPECT_EQ(put(c, edition, "other"), Kind::conflict);
+    // A number that nothing is known of is acknowledged and changes nothing; it too has one body then.
+    EXPECT_EQ(put(b, 9, "older"), Kind::taken);
+    EXPECT_EQ(world.get(c)->at("edition"), edition);
+    EXPECT_EQ(world.get(c)->at("mark"), "later");
+    EXPECT_EQ(put(a, 9, "old"), Kind::conflict);
+    EXPECT_EQ(put(a, 9, "older"), Kind::taken);
+    // Restarted all at once, they know it still.
+    for (const std::string& at : {a, b, c}) world.kill(at);
+    for (const std::string& at : {a, b, c}) world.start(at);
+    world.run(millis(2000));
+    EXPECT_EQ(put(b, 10, "other"), Kind::conflict);
+    EXPECT_EQ(put(b, edition, "later"), Kind::taken);
+}
+
+TEST(Calls, OfEightOperatorsAtOnceEndWithOneBodyANumber) {
+    const unsigned seeds = seedsOr(12);
+    for (unsigned seed = 0; seed < seeds; ++seed) {
+        World world(3, static_cast<int>(seed % 3), seed);
+        std::mt19937 chance(seed);
+        world.run(millis(3500));
+        std::map<std::uint64_t, std::set<std::string>> taken;
+        std::uint64_t highest = 0;
+        for (int round = 0; round < 4; ++round) {
+            struct Order {
+                std::string at, mark;
+                std::uint64_t edition, no;
+            };
+            std::vector<Order> orders;
+            if (round == 2) world.cutOff(World::address(static_cast<int>(chance() % 3)), chance() % 2, false);
+            for (int i = 0; i < 8; ++i) {
+                const std::string at = World::address(static_cast<int>(chance() % world.members.size()));
+                const std::uint64_t edition = 10u * static_cast<unsigned>(round + 1) + chance() % 4;
+                const std::string mark = std::to_string(chance() % 2);
+                orders.push_back({at, mark, edition, world.put(at, edition, mark)});
+                world.run(millis(static_cast<int>(chance() % 3)));
+            }
+            world.run(millis(1000));
+            world.heal();
+            for (const Order& each : orders) {
+                ASSERT_TRUE(world.answered(each.at, each.no)) << "seed " << seed;
+                if (world.kind(each.at, each.no) != Kind::taken) continue;
+                taken[each.edition].insert(each.mark);
+                highest = std::max(highest, each.edition);
+            }
+            world.run(millis(500));
+        }
+        for (const auto& [edition, marks] : taken) EXPECT_EQ(marks.size(), 1u) << seed << " " << edition;
+        const auto read = world.get(a);
+        ASSERT_TRUE(read) << "seed " << seed;
+        EXPECT_GE(read->at("edition"), highest) << "seed " << seed;
+        if (read->at("edition") == highest) {
+            EXPECT_EQ(taken[highest].count(read->at("mark")), 1u) << "seed " << seed;
+        }
+    }
+}
+
+TEST(EditionLog, KeepsTheLastEditionsAndReadsWhatWasWrittenBeforeIt) {
+    EditionLog log;
+    for (std::uint64_t edition = 1; edition <= 100; ++edition)
+        EXPECT_EQ(log.offer({{"edition", edition}, {"b", 1}, {"a", 2}}), OrderVerdict::taken);
+    const Json value = log.toJson();
+    EXPECT_EQ(value.at("digests").size(), EditionLog::kept);
+    log = EditionLog::fromJson(value);
+    EXPECT_EQ(log.offer(Json::parse(R"({"a":2,"b":1,"edition":40})")), OrderVerdict::repeated);
+    EXPECT_EQ(log.offer({{"edition", 40}, {"b", 1}}), OrderVerdict::conflict);
+    EXPECT_EQ(log.offer({{"edition", 2}, {"b", 1}}), OrderVerdict::older);
+    EXPECT_EQ(log.toJson(), value);
+    EditionLog before = EditionLog::fromJson({{"edition", 7}, {"b", 1}});
+    EXPECT_EQ(before.offer({{"edition", 7}, {"b", 1}}), OrderVerdict::repeated);
+    EXPECT_EQ(before.offer({{"edition", 7}, {"b", 2}}), OrderVerdict::conflict);
+}
+}  // namespace
