--- a/tests/system/calls.cpp
+++ b/tests/system/calls.cpp
@@ -255,6 +255,66 @@
     for (const std::string& at : {a, b, c}) EXPECT_EQ(world.standing(at, "i-1"), "gone");
 }
 
+// Cuts of either kind, crashes and restarts by chance, one member at a time, amid stores that come and leave;
+// a call is sometimes sent late. What was acknowledged of leaving is known to all after it.
+TEST(Calls, OfStoresThatLeaveOutliveTroubleByChance) {
+    const unsigned seeds = seedsOr(12);
+    int leftInAll = 0;
+    for (unsigned seed = 0; seed < seeds; ++seed) {
+        const int size = 3 + static_cast<int>(seed % 3);
+        World world(3, size - 3, seed);
+        std::mt19937 chance(seed + 77);
+        world.run(millis(3500));
+        std::map<std::string, std::string> left;  // what was acknowledged
+        for (int round = 0; round < 6; ++round) {
+            const std::string victim = World::address(static_cast<int>(chance() % size));
+            const unsigned trouble = chance() % 4;
+            if (trouble == 0) world.cutOff(victim, false, false);
+            if (trouble == 1) world.cutOff(victim, chance() % 2, chance() % 2);
+            if (trouble == 2) world.kill(victim);
+            if (trouble == 3) world.kill(victim), world.start(victim);
+            for (int i = 0; i < 4; ++i) {
+                const std::string id = "i-" + std::to_string(round * 4 + i);
+                const auto somewhere = [&] { return World::address(static_cast<int>(chance() % size)); };
+                // As stores do: the next member after a failure or a second.
+                const auto say = [&](const std::function<std::uint64_t(const std::string&)>& how) {
+                    for (int tries = 0; tries < 4; ++tries) {
+                        const std::string at = somewhere();
+                        if (!world.members[at].control) continue;
+                        const std::uint64_t no = how(at);
+                        EXPECT_LT(world.await(at, no), millis(1000)) << "seed " << seed;
+                        if (world.answered(at, no) && world.kind(at, no) == Kind::taken) return true;
+                    }
+                    return false;
+                };
+                std::uint64_t number = 0;
+                say([&](auto& at) { return world.beat(at, id, {++number}); });
+                say([&](auto& at) {
+                    return world.beat(at, id, {++number, "accepting", "10.9.0.1:80", 0, "x"});
+                });
+                const std::uint64_t overtaken = ++number;
+                if (say([&](auto& at) { return world.beat(at, id, {++number, "winding_down"}); }))
+                    left[id] = "winding_down";
+                if (chance() % 2 && say([&](auto& at) { return world.leave(at, id); })) left[id] = "gone";
+                const std::string at = somewhere();
+                if (world.members[at].control) world.beat(at, id, {overtaken});
+            }
+            world.heal();
+            if (!world.members[victim].control) world.start(victim);
+            world.run(millis(3000));
+        }
+        leftInAll += static_cast<int>(left.size());
+        for (const auto& [id, how] : left)
+            for (auto& [at, m] : world.members) {
+                // A DELETE without an answer may have been taken.
+                const std::string stands = world.standing(at, id);
+                EXPECT_TRUE(stands == how || stands == "gone")
+                    << "seed " << seed << " " << id << " " << stands;
+            }
+    }
+    EXPECT_GT(leftInAll, static_cast<int>(seeds) * 12);
+}
+
 TEST(Calls, OfAnUnchangedStoreCostNoMessages) {
     World world(3, 0, 5);
     world.run(millis(1500));
@@ -442,6 +502,40 @@
     }
 }
 
+// What had no majority in time is sent again to the next member, as the operator does.
+TEST(Calls, OfEightOperatorsAtNineMembersAreAllAcknowledgedSoon) {
+    Nanos longest = 0;
+    for (unsigned seed = 0; seed < 3; ++seed) {
+        World world(3, 6, seed);
+        world.run(millis(8000));
+        ASSERT_EQ(world.members[a].control->state(world.now)["voters"].size(), 9u);
+        struct Order {
+            int member;
+            std::uint64_t no = 0;
+            bool taken = false;
+        };
+        std::vector<Order> orders;
+        const Nanos from = world.now;
+        const auto send = [&](int i) {
+            Order& order = orders[static_cast<std::size_t>(i)];
+            order.no = world.put(World::address(order.member), 10u + static_cast<unsigned>(i), "x");
+        };
+        for (int i = 0; i < 8; ++i) orders.push_back({i}), send(i);
+        for (int left = 8; left > 0 && world.now - from < millis(5000); world.step())
+            for (int i = 0; i < 8; ++i) {
+                Order& order = orders[static_cast<std::size_t>(i)];
+                const std::string at = World::address(order.member);
+                if (order.taken || !world.answered(at, order.no)) continue;
+                order.taken = world.kind(at, order.no) == Kind::taken;
+                left -= order.taken;
+                if (!order.taken) order.member = (order.member + 1) % 9, send(i);
+            }
+        for (const Order& order : orders) EXPECT_TRUE(order.taken) << "seed " << seed;
+        longest = std::max(longest, world.now - from);
+    }
+    std::printf("eight orders at nine members: all within %d ms\n", static_cast<int>(longest / millis(1)));
+}
+
 TEST(EditionLog, KeepsTheLastEditionsAndReadsWhatWasWrittenBeforeIt) {
     EditionLog log;
     for (std::uint64_t edition = 1; edition <= 100; ++edition)
