Test two bodies of a store under one version

Need: the guard that puts the asked body above an equal version had no test.

Change: a case in AtAMemberThatIsBehindStandAboveWhatItDidNotKnow.

--- a/tests/system/calls.cpp
+++ b/tests/system/calls.cpp
@@ -242,6 +242,22 @@
         for (const std::string& at : {a, b, c})
             EXPECT_EQ(world.standing(at, "i-1"), deletes ? "gone" : "winding_down");
     }
+    // Two bodies under one number, and so one version: all end with one of them.
+    {
+        World world(3, 0, 9);
+        world.run(millis(1500));
+        world.await(a, world.beat(a, "i-1", {}));
+        world.run(millis(200));
+        world.mute = {{a, c}, {b, c}, {c, a}, {c, b}};
+        world.await(a, world.beat(a, "i-1", {2, "accepting", "10.9.0.1:80", 0, "head_office"}));
+        const auto no = world.beat(c, "i-1", {2, "winding_down"});
+        world.run(millis(10));
+        world.mute.clear();
+        world.await(c, no);
+        EXPECT_EQ(world.kind(c, no), Kind::taken);
+        world.run(millis(100));
+        for (const std::string& at : {a, b, c}) EXPECT_EQ(world.standing(at, "i-1"), "winding_down");
+    }
     // Of a store that it does not know at all, though it was asked for it before.
     World world(3, 0, 9);
     world.run(millis(1500));
