--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -37,6 +37,11 @@
     const auto life = disk.find(lifeKey);
     return {settings.controlAddress, incarnation, life == disk.end() ? 0 : life->second.get<std::uint64_t>()};
 }
+
+// A span told in microseconds; 0 where it is not.
+Nanos micros(const Json& message, const char* field) {
+    return message.value(field, Nanos(0)) * 1000;
+}
 }  // namespace
 
 ControlMember::ControlMember(const settings::Settings& settings, std::string incarnation,
@@ -51,7 +56,10 @@
       now_(now),
       membership_(self_, settings_, *this, now),
       recovery_(now + forgottenAfter),
-      startedAt_(now) {
+      startedAt_(now),
+      // Steady time of the start: no link outlives the process, so it need differ only while one is open.
+      stores_(self_, self_ + "/" + std::to_string(now), settings.beatInterval_ms, *this, now),
+      operatorCalls_(*this) {
     for (const auto& [name, body] : disk) {
         if (name == "core") {
             core_ = {body.at("epoch").get<std::uint64_t>(), body.at("voters").get<std::set<std::string>>()};
@@ -120,6 +128,7 @@
     const auto at = peers_.find(link);
     if (at == peers_.end()) return;
     const std::string dialled = at->second.dialled;
+    if (linkTo(dialled) == link) contacts_.lost(dialled);
     peers_.erase(at);
     gossip_.leave(link);
     if (dialled.empty()) return;
@@ -134,6 +143,7 @@
                record.body.at("voters").get<std::set<std::string>>()});
     if (name.starts_with("member/")) membership_.told(name.substr(7), MemberStanding::fromJson(record.body));
     unannounced_.erase(name);
+    stores_.news(name, record, now_);
 }
 
 namespace {
@@ -151,7 +161,9 @@
 
 // A register's value that is known to stand becomes a record for all.
 void ControlMember::learn(const std::string& name, const Json& value) {
-    if (!value.is_null()) gossip_.put(name, {versionOf(name, value), value});
+    if (value.is_null()) return;
+    const Json body = name == "config" ? EditionLog::fromJson(value).configuration() : value;
+    gossip_.put(name, {versionOf(name, value), body});
 }
 
 // How many voters in reach come before this one: what any may do the first does, the next if it has not.
@@ -168,6 +180,7 @@
     now_ = now;
     take(link, message, now);
     if (membership_.changing(now)) membership_.tick(votes(), now);
+    serveWaiting(now);
     flushProposer(now);
     depart(now);
 }
@@ -210,6 +223,13 @@
         }
     } else if (kind == "news" || kind == "whole?") {
         gossip_.heard(link, message);
+        // The first news of a link is the whole board.
+        if (kind == "news" && !peer.dialled.empty()) stores_.boardHeardFrom(peer.dialled);
+    } else if (kind == StoreRecordReplicate::kind) {
+        if (const auto reply = stores_.hold(StoreRecordReplicate::fromJson(message), now))
+            send(link, reply->toJson());
+    } else if (kind == StoreRecordHeld::kind) {
+        stores_.held(peer.dialled, StoreRecordHeld::fromJson(message), now);
     } else if (isVoteRequest(kind)) {
         vote(link, message);
     } else if (isVoteReply(kind)) {
@@ -218,12 +238,16 @@
         adopt({message.at("e").get<std::uint64_t>(), message.at("c").get<std::set<std::string>>()});
     } else if (kind == "round") {
         const LeaseQuestion question = LeaseQuestion::fromJson(message);
-        if (votes() && question.epoch == core_.epoch)
-            send(link, LeaseAnswer{question.round, question.epoch, unsettledLeads_.own(board())}.toJson());
+        if (!peer.member.empty()) contacts_.heard(peer.member, micros(message, "lease_left_us"), now);
+        if (votes() && question.epoch == core_.epoch) {
+            const LeaseAnswer told{question.round, question.epoch, unsettledLeads_.own(board())};
+            send(link, withLeaseLeft(told.toJson()));
+        }
         // Who was cut off during a change of voters is told of it.
         if (question.epoch < core_.epoch)
             send(link, {{"k", "stale"}, {"e", core_.epoch}, {"c", core_.voters}});
     } else if (kind == "roundok") {
+        contacts_.heard(peer.dialled, micros(message, "lease_left_us"), now);
         const LeaseAnswer told = LeaseAnswer::fromJson(message);
         unsettledLeads_.told(told.unsettled, now);
         lease_.answered(peer.dialled, told, core_);
@@ -373,7 +397,12 @@
     roundAt_ = now;
     const LeaseQuestion question = lease_.begin(core_, votes() ? self_ : "", now);
     for (const std::string& voter : core_.voters)
-        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, question.toJson());
+        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, withLeaseLeft(question.toJson()));
+}
+
+Json ControlMember::withLeaseLeft(Json message) const {
+    message["lease_left_us"] = std::max<Nanos>(0, lease_.until() - now_) / 1000;
+    return message;
 }
 
 std::uint64_t ControlMember::nextAsk(Succession& asker) {
@@ -403,6 +432,19 @@
     return known ? known->syncReplicas : 1;  // not known yet: as if it had some
 }
 
+void ControlMember::putRecord(const std::string& name, board::Record record) {
+    gossip_.put(name, std::move(record));
+}
+
+void ControlMember::sendTo(const std::string& voter, Json message) {
+    if (const int link = linkTo(voter)) send(link, std::move(message));
+}
+
+void ControlMember::beginChange(Change change, Nanos now, Nanos until) {
+    proposer_.begin(std::move(change), now, until);
+    flushProposer(now);
+}
+
 void ControlMember::call(std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
                          const std::string& body, Nanos now) {
     now_ = now;
@@ -410,48 +452,32 @@
     const std::string what = method + " " + place + (path.size() > 1 ? "/ID" : "");
     const bool known = place == "config" || place == "stores" || place == "state";
     if (departure_.begun() && known && place != "state") return answer(call, Kind::leaving);
+    openCalls_[call] = "/" + place + (path.size() > 1 ? "/" + path[1] : "");
     if (path.size() <= 2) {
         if (what == "PUT stores/ID") return storeCalled(call, path[1], body, now);
-        if (what == "DELETE stores/ID") return storeLeft(call, path[1]);
+        if (what == "DELETE stores/ID")
+            return whenLeased(
+                call, [this, call, id = path[1]](Nanos then) { stores_.left(call, id, then); }, now);
         if (what == "PUT config") return configSent(call, body, now);
-        if (what == "GET config") return configAsked(call, now);
+        if (what == "GET config")
+            return whenLeased(
+                call, [this, call](Nanos then) { operatorCalls_.get(call, then); }, now);
         if (what == "GET state") return answer(call, Kind::taken, state(now).dump());
     }
     answer(call, known ? Kind::notAllowed : Kind::notFound);
 }
 
-void ControlMember::storeCalled(std::uint64_t call, const std::string& id, const std::string& body, Nanos) {
-    Json told, now;
-    std::uint64_t seq = 0;
+// What is invalid is so for any member; all else waits for contact with a majority.
+void ControlMember::storeCalled(std::uint64_t call, const std::string& id, const std::string& body,
+                                Nanos now) {
+    StoreCall said;
     try {
-        told = Json::parse(body);
-        now = {{"service", told.at("depot")},
-               {"address", told.at("address")},
-               {"district", told.value("district", "")},
-               {"berths", told.value("berths", 0)},
-               {"standing", told.value("standing", "accepting")},
-               {"role", told.value("db_role", "")}};
-        seq = told.value("call_seq", std::uint64_t(0));
+        said = StoreCall::fromJson(id, body);
     } catch (const Json::exception&) {
         return answer(call, Kind::notSound, R"({"fault":"not a store's call"})");
     }
-    const std::string name = "store/" + id;
-    const board::Record* known = board().find(name);
-    // A call that was overtaken is acknowledged and changes nothing; one that left does not come back by it.
-    const bool late = known && seq <= known->version.minor;
-    if (!late && (!known || known->body != now)) {
-        const std::uint64_t major = known ? known->version.major + 1 : 1;
-        gossip_.put(name, {{major, seq}, now});
-    }
-    answer(call, Kind::taken, "{}");
-}
-
-void ControlMember::storeLeft(std::uint64_t call, const std::string& id) {
-    const std::string name = "store/" + id;
-    const board::Record* known = board().find(name);
-    if (known && !known->body.is_null())
-        gossip_.put(name, {{known->version.major + 1, known->version.minor + 1'000'000}, nullptr});
-    answer(call, Kind::taken, "{}");
+    whenLeased(
+        call, [this, call, said](Nanos then) { stores_.called(call, said, then); }, now);
 }
 
 void ControlMember::configSent(std::uint64_t call, const std::string& body, Nanos now) {
@@ -462,34 +488,32 @@
     } catch (const configuration::Invalid& fault) {
         return answer(call, Kind::notSound, Json{{"fault", fault.what()}}.dump());
     }
-    if (!core_.epoch || diskWatch_.health() == DiskHealth::refuses) return answer(call, Kind::unready);
-    proposer_.begin(
-        {"config",
-         [sent](const Json& was) {
-             if (was.is_object() && was.at("edition") >= sent.at("edition")) return was;
-             return sent;
-         },
-         [this, call](std::optional<Json> stands) {
-             if (!stands) return answer(call, Kind::noMajority);
-             learn("config", *stands);
-             answer(call, Kind::taken, "{}");
-             outputs_.push_back(ToLog{"configuration " + stands->at("edition").dump() + " acknowledged"});
-         }},
-        now, now + changeWithin);
-    flushProposer(now);
+    if (diskWatch_.health() == DiskHealth::refuses) return answer(call, Kind::unready);
+    whenLeased(
+        call, [this, call, sent = std::move(sent)](Nanos then) { operatorCalls_.put(call, sent, then); },
+        now);
 }
 
-void ControlMember::configAsked(std::uint64_t call, Nanos now) {
-    if (!core_.epoch) return answer(call, Kind::unready);
-    proposer_.begin({"config", [](const Json& was) { return was; },
-                     [this, call](std::optional<Json> stands) {
-                         if (!stands) return answer(call, Kind::noMajority);
-                         if (stands->is_null()) return answer(call, Kind::notFound);
-                         learn("config", *stands);
-                         answer(call, Kind::taken, stands->dump());
-                     }},
-                    now, now + changeWithin);
-    flushProposer(now);
+void ControlMember::whenLeased(std::uint64_t call, std::function<void(Nanos)> run, Nanos now) {
+    if (leased(now)) return run(now);
+    waiting_.add(call, openCalls_[call], std::move(run), now);
+}
+
+// What failed for want of a majority is sent on to a member that has one, where one is known.
+void ControlMember::answerOrSendOn(std::uint64_t call, Kind kind, std::string body) {
+    const bool failed = kind == Kind::noMajority || kind == Kind::unready;
+    if (!failed) return answer(call, kind, std::move(body));
+    const std::optional<std::string> member = leased(now_) ? std::nullopt : contacts_.best(now_);
+    if (!member) return answer(call, kind);
+    outputs_.push_back(ToCaller{call, Kind::elsewhere, {}, "http://" + *member + openCalls_[call]});
+    openCalls_.erase(call);
+}
+
+void ControlMember::serveWaiting(Nanos now) {
+    if (leased(now))
+        for (const WaitingCalls::Call& each : waiting_.takeAll()) each.run(now);
+    for (const WaitingCalls::Call& each : waiting_.takeOverdue(now))
+        answerOrSendOn(each.number, Kind::noMajority, {});
 }
 
 void ControlMember::suspected(const Json& message, Nanos now) {
@@ -653,6 +677,8 @@
     now_ = now;
     ownRecord();
     rounds(now);
+    stores_.tick(now);
+    serveWaiting(now);
     proposer_.tick(now);
     for (std::string& text : proposer_.takeFailures()) outputs_.push_back(ToLog{std::move(text)});
     recover(now);
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -3,6 +3,7 @@
 // of each service. Free of I/O, clocks and chance: time comes in, outputs go out.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -11,13 +12,16 @@
 
 #include "board/gossip.hpp"
 #include "configuration/configuration.hpp"
+#include "control/contact.hpp"
 #include "control/departure.hpp"
 #include "control/disk_health.hpp"
 #include "control/lease.hpp"
 #include "control/membership.hpp"
+#include "control/operator_calls.hpp"
 #include "control/outputs.hpp"
 #include "control/recovery.hpp"
 #include "control/register.hpp"
+#include "control/store_registry.hpp"
 #include "control/succession.hpp"
 #include "control/unsettled_leads.hpp"
 #include "nanos.hpp"
@@ -25,7 +29,10 @@
 
 namespace granitereel::control {
 
-class ControlMember : public Succession::Means, private Membership::Means {
+class ControlMember : public Succession::Means,
+                      private Membership::Means,
+                      private StoreRegistry::Means,
+                      private OperatorCalls::Means {
 public:
     // `incarnation`: drawn anew when the disk is empty, else as it was. `disk`: what was written, by name,
     // with the life at `lifeKey` raised for this start.
@@ -68,16 +75,33 @@
     const board::Board& board() const override { return gossip_.board(); }
     int syncReplicas(const std::string& service) const override;
 
+    void putRecord(const std::string& name, board::Record record) override;
+    void sendTo(const std::string& voter, Json message) override;
+    const Core& core() const override { return core_; }
+    void answerStore(std::uint64_t call, Kind kind) override { answerOrSendOn(call, kind, "{}"); }
+
+    void beginChange(Change change, Nanos now, Nanos until) override;
+    void configurationStands(const Json& value) override { learn("config", value); }
+    void answerOperator(std::uint64_t call, Kind kind, std::string body) override {
+        answerOrSendOn(call, kind, std::move(body));
+    }
+    void log(std::string line) override { outputs_.push_back(ToLog{std::move(line)}); }
+
     void send(int link, Json message) { outputs_.push_back(ToLink{link, std::move(message)}); }
     void answer(std::uint64_t call, Kind kind, std::string body = {}) {
-        outputs_.push_back(ToCaller{call, kind, std::move(body)});
+        openCalls_.erase(call);
+        outputs_.push_back(ToCaller{call, kind, std::move(body), {}});
     }
     void take(int link, const Json& message, Nanos now);
     void news(const std::string& name, const board::Record& record);
     void storeCalled(std::uint64_t call, const std::string& id, const std::string& body, Nanos now);
-    void storeLeft(std::uint64_t call, const std::string& id);
     void configSent(std::uint64_t call, const std::string& body, Nanos now);
-    void configAsked(std::uint64_t call, Nanos now);
+    bool leased(Nanos now) const { return core_.epoch && now < lease_.until(); }
+    // The message with what is left of this member's lease, in microseconds: a hint of where to send callers.
+    Json withLeaseLeft(Json message) const;
+    void whenLeased(std::uint64_t call, std::function<void(Nanos now)> run, Nanos now);
+    void answerOrSendOn(std::uint64_t call, Kind kind, std::string body);
+    void serveWaiting(Nanos now);
     void learn(const std::string& name, const Json& value);
     bool said(const std::string& name, const Json& value) const;
     std::size_t rank() const;
@@ -131,6 +155,11 @@
     std::uint64_t nextAsk_ = 1;
     Nanos roundAt_ = 0, startedAt_, readAt_ = 0;
     configuration::Configuration configuration_;
+    StoreRegistry stores_;
+    OperatorCalls operatorCalls_;
+    Contacts contacts_;
+    WaitingCalls waiting_;
+    std::map<std::uint64_t, std::string> openCalls_;  // paths of those under way
 };
 
 }  // namespace granitereel::control
--- a/standins/control_world.hpp
+++ b/standins/control_world.hpp
@@ -33,8 +33,9 @@
         int incarnation = 0;
         std::map<std::string, int> dialled;
         std::map<std::uint64_t, std::pair<Kind, std::string>> answers;
-        int writesLeft = 1 << 30;    // it dies behind so many writes
-        int messagesLeft = 1 << 30;  // it dies behind so many messages sent
+        std::map<std::uint64_t, std::string> locations;  // where callers were sent on to
+        int writesLeft = 1 << 30;                        // it dies behind so many writes
+        int messagesLeft = 1 << 30;                      // it dies behind so many messages sent
         // The disk: how long a sync takes (0: at once), and whether it takes bytes.
         Nanos syncTakes = 0;
         bool refuses = false;
@@ -236,6 +237,7 @@
                 if (p.linkTo == link) packets.back().at = std::max(packets.back().at, p.at + 1);
         } else if (auto* answer = std::get_if<ToCaller>(&each)) {
             m.answers[answer->call] = {answer->kind, answer->body};
+            m.locations[answer->call] = answer->location;
         } else if (auto* log = std::get_if<ToLog>(&each)) {
             m.log.push_back(log->line);
         } else if (std::holds_alternative<ToStore>(each)) {
