--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -100,8 +100,6 @@
                 {"kind", "member"},
                 {"member", self_},
                 {"station", settings_.station},
-                {"leaving", departure_.begun()},
-                {"recovering", recovering_},
                 {"incarnation", incarnation_}});
     gossip_.join(link);
     proposer_.reached(dialled);
@@ -183,7 +181,6 @@
             if (!known.empty() && known != told) proposer_.forgets(peer.member);
             known = told;
             membership_.heard(peer.member, now);
-            membership_.told(peer.member, MemberStanding::fromJson(message));
         }
         if (peer.dialled.empty()) {
             send(link, {{"k", "hello"},
@@ -191,8 +188,6 @@
                         {"member", self_},
                         {"station", settings_.station},
                         {"district", settings_.district},
-                        {"leaving", departure_.begun()},
-                        {"recovering", recovering_},
                         {"incarnation", incarnation_},
                         {"epoch", core_.epoch},
                         {"voters", core_.voters}});
--- a/src/control/membership.hpp
+++ b/src/control/membership.hpp
@@ -18,7 +18,7 @@
 
 namespace granitereel::control {
 
-// What a member's record and its hello say of it.
+// What a member's record says of it.
 struct MemberStanding {
     bool leaving = false;     // told to end
     bool recovering = false;  // its disk was lost, and it has not read the state yet
@@ -76,7 +76,7 @@
     // What is under way for an earlier epoch is given up.
     void adopted(const Core& core, Nanos now);
     void heard(const std::string& member, Nanos now) { lastHeard_[member] = now; }
-    // The last one told holds: a hello takes back what an earlier life's record said.
+    // The last one told holds: a member that starts again makes its record anew.
     void told(const std::string& member, MemberStanding standing) { standing_[member] = standing; }
     // Does what this member's turn is; `votes`: whether this member may vote.
     void tick(bool votes, Nanos now);
