Model restarts, the change of voters, leases and promotion

The models had no proposer that restarts, a change of voters only as a variant that was not searched whole, and nothing of control's leases and promotions.

registers.pml: ballots carry a life; questions and their syncs are two steps; recovery reads one dump after the other. The variant CHANGE NO_CARRY NO_OLD goes, as its two guards each have a variant of their own in membership.pml. membership.pml: {0 1 2}, {0 1 2 3}, {1 2 3} with a lost disk at any time; two managers that clash; a joint epoch. promotion.pml: READ (leases), DUTY (fences, two owners), LOG (positions of replicas).

--- a/models/check.sh
+++ b/models/check.sh
@@ -4,6 +4,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 model=$here/leases.pml
 ends=
+pack=-DCOLLAPSE
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 cd "$folder"
@@ -11,7 +12,7 @@
     wanted=$1
     shift
     spin -a "$@" "$model" >spin.log
-    ${CC:-cc} -O2 -w -DSAFETY -DCOLLAPSE -o pan pan.c
+    ${CC:-cc} -O2 -w -DSAFETY $pack -o pan pan.c
     ./pan $ends -m200000 >pan.log
     errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.log)
     echo "$* $wanted: $errors errors, $(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' pan.log) states"
@@ -25,10 +26,49 @@
 run fails -DNO_MARGIN
 run fails -DTRUST_CLOCK
 run fails -DORDER -DNO_FENCE
-# Processes of this one may wait for ever: only its claims count.
+# Processes of those below may wait for ever: only their claims count. Their states are few enough to be kept unpacked.
 model=$here/registers.pml
 ends=-E
-run holds -DONE
+pack=-DNOBOUNDCHECK
+run holds -DWIPE -DPOWER
+run holds -DTRIES=2 -DOTHER=2 -DRESTART -DWIPE
+run holds -DTRIES=2 -DRESTART -DDESCENDING -DWIPE
+run holds -DTRIES=2 -DRESTART -DPOWER
+run fails -DTRIES=2 -DRESTART -DNO_LIFE
+run fails -DWIPE -DEMPTY_VOTES
+run fails -DWIPE -DEARLY_DUMP
+run fails -DPOWER -DEARLY
+model=$here/membership.pml
+run holds -DWIPES=0 -DPROPOSERS=2
+run holds -DBELOW
+run holds -DAROUND
+run holds -DABOVE
+run holds -DCLASH -DWIPES=0
+run holds -DJOINT -DWIPES=0
+run fails -DWIPES=0 -DNO_CARRY
+run fails -DWIPES=0 -DSWAP
+run fails -DCLASH -DWIPES=0 -DNO_OLD
 run fails -DEMPTY_VOTES
-run fails -DEARLY
-run fails -DCHANGE -DNO_CARRY -DNO_OLD
+run fails -DFIRST_HELLO
+run fails -DANY_DUMP
+run fails -DFEW_DUMPS
+run fails -DEARLY_DUMP
+model=$here/promotion.pml
+run holds -DREAD
+run holds -DREAD -DROUNDS=1 -DASKS=2
+run holds -DDUTY
+run holds -DDUTY -DCHECKED
+run holds -DLOG
+run fails -DREAD -DROUNDS=1 -DFORGETFUL
+run fails -DREAD -DROUNDS=1 -DLEASE_BEFORE_NEWS
+run fails -DREAD -DROUNDS=1 -DNO_WAIT
+run fails -DREAD -DROUNDS=1 -DFROM_ANSWER
+run fails -DDUTY -DNO_CONFIRM
+run fails -DDUTY -DNO_FENCE
+run fails -DDUTY -DCHECKED -DNO_FENCE
+run fails -DDUTY -DSTAND_DOWN_AT_ONCE
+run fails -DDUTY -DCHECKED -DSTAND_DOWN_AT_ONCE
+run fails -DLOG -DONE_HEARD
+run fails -DLOG -DEARLY_ROWS
+run fails -DLOG -DSTAND_DOWN_AT_ONCE
+run fails -DLOG -DREPLICA_RESTARTS
