--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -9,8 +9,6 @@
 namespace {
 // Rounds of the lease: three fit into one, so that one lost message does not end it.
 constexpr Nanos roundEvery = millis(200);
-// Over a lease, steady clocks of two machines differ by less.
-constexpr Nanos driftOfClocks = millis(50);
 // A change that has no majority by then is answered as failed, within the time that an operator's call waits.
 constexpr Nanos changeWithin = millis(900);
 // A member whose link is down for longer counts as away when duties are dealt out.
@@ -337,19 +335,40 @@
                            std::function<void(std::optional<Lead>)> done) {
     const std::string name = "lead/" + service;
     const Json wanted = written(to);
+    // An equal value may stand that another life of this member wrote: only one that was applied here counts.
+    const auto applied = std::make_shared<bool>(false);
     proposer_.begin({name,
-                     [ifSeq, wanted](const Json& was) {
+                     [ifSeq, wanted, applied](const Json& was) {
                          const std::uint64_t seq = was.is_object() ? was.at("seq").get<std::uint64_t>() : 0;
-                         return seq == ifSeq ? wanted : was;
+                         if (seq != ifSeq) return was;
+                         *applied = true;
+                         return wanted;
                      },
-                     [this, name, wanted, done = std::move(done)](std::optional<Json> stands) {
+                     [this, name, wanted, applied, done = std::move(done)](std::optional<Json> stands) {
                          if (stands) learn(name, *stands);
-                         done(stands && *stands == wanted ? readLead(*stands) : std::nullopt);
+                         const bool ours = stands && *applied && *stands == wanted;
+                         done(ours ? readLead(*stands) : std::nullopt);
                      }},
                     now_, now_ + changeWithin);
     flushProposer(now_);
 }
 
+// A read by a majority that promises to take nothing older: what replaces the lead is chosen after it began.
+void ControlMember::confirm(const std::string& service, const Lead& expected,
+                            std::function<void(Confirmation, Nanos now)> done) {
+    const std::string name = "lead/" + service;
+    proposer_.begin(
+        {name, [](const Json& was) { return was; },
+         [this, name, wanted = written(expected), done = std::move(done)](std::optional<Json> is) {
+             if (is) learn(name, *is);
+             if (is && *is != wanted) return done(Confirmation::replaced, now_);
+             const bool leased = now_ < leaseUntil_;
+             done(is && leased ? Confirmation::stands : Confirmation::unknown, now_);
+         }},
+        now_, now_ + changeWithin);
+    flushProposer(now_);
+}
+
 int ControlMember::syncReplicas(const std::string& service) const {
     const configuration::Service* known = configuration_.service(service);
     return known ? known->syncReplicas : 1;  // not known yet: as if it had some
@@ -456,6 +475,7 @@
 }
 
 void ControlMember::storeAnswered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now) {
+    now_ = now;
     const auto at = asks_.find(ask);
     if (at == asks_.end()) return;
     Succession* asker = at->second;
@@ -463,12 +483,13 @@
     asker->answered(ask, std::move(row), now);
 }
 
-void ControlMember::platformAnswered(std::uint64_t ask, int status, Nanos now) {
+void ControlMember::platformAnswered(std::uint64_t ask, PromotionAnswer answer, Nanos now) {
+    now_ = now;
     const auto at = asks_.find(ask);
     if (at == asks_.end()) return;
     Succession* asker = at->second;
     asks_.erase(at);
-    asker->promoted(ask, status, now);
+    asker->promoted(ask, answer, now);
 }
 
 // Each service's duty belongs to the voter with the highest value for its name among those in reach.
@@ -485,8 +506,9 @@
         if (!record.body.is_object()) return;
         auto& slot = successions_[record.body.at("service").get<std::string>()];
         if (!slot)
-            slot = std::make_unique<Succession>(self_, record.body.at("service"), leaseTime + driftOfClocks,
-                                                *this);
+            slot = std::make_unique<Succession>(
+                self_, record.body.at("service"), leaseTime + driftOfClocks, *this,
+                PlatformGuarantees{settings_.fenceChecked, millis(settings_.lease_ms)});
     });
     for (const auto& [service, succession] : successions_) {
         const auto best = std::max_element(here.begin(), here.end(), [&, &name = service](auto& a, auto& b) {
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -33,7 +33,7 @@
     void call(std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
               const std::string& body, Nanos now);
     void storeAnswered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now);
-    void platformAnswered(std::uint64_t ask, int status, Nanos now);
+    void platformAnswered(std::uint64_t ask, PromotionAnswer answer, Nanos now);
     void tick(Nanos now);
 
     Outputs takeOutputs() { return std::exchange(outputs_, {}); }
@@ -54,6 +54,8 @@
     std::uint64_t nextAsk(Succession& asker) override;
     void change(const std::string& service, std::uint64_t ifSeq, Lead to,
                 std::function<void(std::optional<Lead>)> done) override;
+    void confirm(const std::string& service, const Lead& expected,
+                 std::function<void(Confirmation, Nanos now)> done) override;
     const board::Board& board() const override { return gossip_.board(); }
     int syncReplicas(const std::string& service) const override;
 
--- a/src/control/outputs.hpp
+++ b/src/control/outputs.hpp
@@ -3,11 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "nanos.hpp"
+
 namespace granitereel::control {
 
 using Json = nlohmann::json;
@@ -33,17 +36,23 @@
     Kind kind = Kind::taken;
     std::string body;  // JSON; empty: what the table says
 };
-// A statement of control's own at a store: STATUS, PAUSE term, RESUME or STEPDOWN term.
+// A call that must not leave later than at this time, as what it rests on may no longer stand then.
+constexpr Nanos anyTime = std::numeric_limits<Nanos>::max();
+// A statement of control's own at a store: STATUS, PAUSE term, RESUME or STEPDOWN term. Sent once, over a
+// connection of its own.
 struct ToStore {
     std::uint64_t ask = 0;
     std::string store, service, address, text;
     int within_ms = 0;
+    Nanos notAfter = anyTime;
 };
+// POST /promotions. Sent once, over a connection of its own.
 struct ToPlatform {
     std::uint64_t ask = 0;
     std::string service, store, holder;
     std::uint64_t fence = 0;
     int within_ms = 0;
+    Nanos notAfter = anyTime;
 };
 // A change of state worth a line in the log.
 struct ToLog {
--- a/src/control/program.cpp
+++ b/src/control/program.cpp
@@ -141,12 +141,13 @@
     }
     void carry(ToLog& out) { spdlog::info("{}", out.line); }
     void carry(ToStore& out) {
-        transport::storeCall(loop_, transport::endpointOf(out.address), out.service, out.store, out.text,
-                             out.within_ms, [this, ask = out.ask](std::optional<std::string> row) {
-                                 member_.storeAnswered(ask, row ? readRow(*row) : std::nullopt,
-                                                       transport::steadyNow());
-                                 carryOut();
-                             });
+        transport::storeCall(
+            loop_, transport::endpointOf(out.address), out.service, out.store, out.text, out.within_ms,
+            [this, ask = out.ask](std::optional<std::string> row) {
+                member_.storeAnswered(ask, row ? readRow(*row) : std::nullopt, transport::steadyNow());
+                carryOut();
+            },
+            [notAfter = out.notAfter] { return transport::steadyNow() < notAfter; });
     }
     void carry(ToPlatform& out) {
         transport::httpCall(
@@ -154,9 +155,10 @@
             {{"X-Duty-Holder", settings_.station}, {"X-Fence-Number", std::to_string(out.fence)}},
             nlohmann::json{{"depot", out.service}, {"store_id", out.store}}.dump(), out.within_ms,
             [this, ask = out.ask](int status) {
-                member_.platformAnswered(ask, status, transport::steadyNow());
+                member_.platformAnswered(ask, promotionAnswerOf(status), transport::steadyNow());
                 carryOut();
-            });
+            },
+            [notAfter = out.notAfter] { return transport::steadyNow() < notAfter; });
     }
 
     struct Dialled {
--- a/src/control/succession.cpp
+++ b/src/control/succession.cpp
@@ -3,11 +3,14 @@
 #include <algorithm>
 #include <sstream>
 
+#include "transport/call_status.hpp"
+
 namespace granitereel::control {
 
 namespace {
-// A store that is well answers STATUS within a few ms; slow ones within a few times a statement's work.
-constexpr int statusWithin_ms = 300;
+// A store that is well answers within a few ms; slow ones within a few times a statement's work. It bounds
+// how late a statement may arrive, so the order of PAUSE and RESUME of two owners rests on it.
+constexpr int statementWithin_ms = 300;
 // A lead under suspicion is given less: while the register is written and the lease runs out it is asked
 // again, and leads on if it answers.
 constexpr int checkWithin_ms = 150;
@@ -15,8 +18,27 @@
 constexpr Nanos believed = millis(400);
 // Asks that got no answer are made again after this.
 constexpr Nanos askAgain = millis(250);
-// A promotion that has not shown by then is asked for again.
+// A call to the platform without an answer is reset after this, so that it arrives by then or never.
+constexpr int postWithin_ms = 1200;
+// "Some hundred ms" after the platform has taken a promotion the store leads, and says so; at most this.
+constexpr Nanos promotedWithin = millis(1000);
+// A promotion that has not shown by then is begun anew, under a higher fence.
 constexpr Nanos risesWithin = millis(2500);
+// The platform did not take the promotion for this long: begun anew, as what was heard has aged.
+constexpr Nanos promotesWithin = millis(3 * postWithin_ms);
+// A lead that asks for its term, and one under suspicion, are given up after this.
+constexpr Nanos asksWithin = millis(2000);
+// A change of the register ends sooner, with or without a majority.
+constexpr Nanos guardsWithin = millis(3000);
+// Replicas that were heard as paused are paused again after this, where others are still to be heard.
+constexpr Nanos verifiesWithin = millis(1000);
+// A planned target that doesn't get what the others have by then is given up, so that those receive again.
+constexpr Nanos catchesUpWithin = millis(3000);
+// The platform called the promotion a conflict: the registers and the stores' beats show why by then.
+constexpr Nanos quietAfterConflict = millis(300);
+constexpr Nanos quietAfterStandDown = millis(1000);
+// A promoted store's beat comes at once; its first STATUS waits this much for it.
+constexpr Nanos beatShows = millis(50);
 }  // namespace
 
 std::optional<StoreRow> readRow(const std::string& fields) {
@@ -49,8 +71,28 @@
     return lead;
 }
 
-Succession::Succession(std::string self, std::string service, Nanos lease, Means& means)
-    : self_(std::move(self)), service_(std::move(service)), lease_(lease), means_(means) {}
+PromotionAnswer promotionAnswerOf(int status) {
+    switch (status) {
+        case 200:
+            return PromotionAnswer::accepted;
+        case 409:
+            return PromotionAnswer::conflict;
+        case transport::noAnswer:
+            return PromotionAnswer::silent;
+        case transport::notSent:
+            return PromotionAnswer::notSent;
+        default:
+            return PromotionAnswer::unavailable;
+    }
+}
+
+Succession::Succession(std::string self, std::string service, Nanos lease, Means& means,
+                       PlatformGuarantees platform)
+    : self_(std::move(self)),
+      service_(std::move(service)),
+      lease_(lease),
+      platform_(platform),
+      means_(means) {}
 
 const char* Succession::phase() const {
     static const char* const names[] = {"idle",    "founding",  "checking", "guarding",
@@ -58,6 +100,22 @@
     return names[static_cast<int>(phase_)];
 }
 
+Nanos Succession::confirmedFor() const {
+    return std::max<Nanos>(0, lease_ - driftOfClocks - millis(statementWithin_ms));
+}
+
+Nanos Succession::waitsBeforePromotion() const {
+    Nanos wait = lease_;
+    // A promotion that was taken already must show before another store is chosen.
+    const Nanos shows = tookOver_ ? promotedWithin : 0;
+    wait = std::max(wait, shows + driftOfClocks);
+    if (!predecessor_) return wait;
+    // What the predecessor called rested on a confirmation begun before this owner's write stood.
+    const bool mustHaveArrived = tookOver_ || !platform_.fenceChecked || platform_.lease > 0;
+    const Nanos arrived = mustHaveArrived ? millis(postWithin_ms) : 0;
+    return std::max(wait, confirmedFor() + arrived + shows + driftOfClocks + platform_.lease);
+}
+
 void Succession::log(const std::string& line) {
     means_.outputs().push_back(ToLog{"lead of " + service_ + ": " + line});
 }
@@ -85,129 +143,209 @@
     return all;
 }
 
+std::vector<std::string> Succession::others() const {
+    std::set<std::string> all = lead_.replicas;
+    for (const std::string& store : listed()) all.insert(store);
+    all.erase(lead_.store);
+    return {all.begin(), all.end()};
+}
+
 void Succession::to(Phase phase, Nanos now) {
     phase_ = phase;
     since_ = now;
 }
 
-void Succession::ask(const std::string& store, int what, const std::string& text, int within_ms, Nanos now) {
+// STATUS changes nothing and may leave whenever; PAUSE and RESUME only while what they rest on is confirmed.
+void Succession::ask(const std::string& store, Statement what, const std::string& text, Nanos now) {
     const Json* body = record(store);
     if (!body) return;
+    const bool changes = what != Statement::status;
     const std::uint64_t no = means_.nextAsk(*this);
-    asks_[no] = Ask{store, static_cast<decltype(Ask::what)>(what)};
-    askedAt_ = now;
-    means_.outputs().push_back(ToStore{no, store, service_, body->value("address", ""), text, within_ms});
+    asks_[no] = Ask{store, what, now};
+    const int within_ms = phase_ == Phase::checking ? checkWithin_ms : statementWithin_ms;
+    const Nanos notAfter = changes ? confirmedAt_.value_or(0) + confirmedFor() : anyTime;
+    means_.outputs().push_back(
+        ToStore{no, store, service_, body->value("address", ""), text, within_ms, notAfter});
+}
+
+// What was asked and confirmed before is void from here on.
+void Succession::beginAttempt() {
+    ++attempt_;
+    asks_.clear();
+    confirmedAt_.reset();
+    confirming_ = false;
+}
+
+// Ends whatever is under way and changes nothing outside.
+void Succession::abandon(const std::string& why, Nanos now) {
+    if (phase_ != Phase::idle) log(why);
+    beginAttempt();
+    if (!toResume_.empty()) resumedFence_.reset();
+    toResume_.clear();
+    to(Phase::idle, now);
 }
 
+void Succession::confirm(const Lead& lead, Nanos now) {
+    if (confirming_) return;
+    confirming_ = true;
+    const auto ended = [this, begun = now, attempt = attempt_](Confirmation confirmation, Nanos at) {
+        if (attempt == attempt_) confirmationEnded(confirmation, begun, at);
+    };
+    means_.confirm(service_, lead, ended);
+}
+
+void Succession::confirmationEnded(Confirmation confirmation, Nanos begun, Nanos now) {
+    confirming_ = false;
+    if (confirmation == Confirmation::replaced) return abandon("replaced by another owner's change", now);
+    if (confirmation == Confirmation::unknown || !mine_) return;  // tick() asks again, where it still owns
+    confirmedAt_ = begun;
+    if (!confirmed(now)) return;
+    if (phase_ == Phase::pausing) pauseReplicas(now);
+    if (phase_ == Phase::promoting) post(now);
+    if (phase_ == Phase::idle) resume(now);
+}
+
+// What another began and did not end is taken over by tick().
 void Succession::own(bool mine, Nanos now) {
     if (mine == mine_) return;
     mine_ = mine;
-    if (!mine && phase_ != Phase::idle) {
-        log("left to another member");
-        to(Phase::idle, now);
-    }
-    // What another began and did not end is taken over by tick().
+    if (!mine) abandon("left to another member", now);
 }
 
 void Succession::suspected(const std::string& store, Nanos now) {
     const auto lead = known();
     if (!mine_ || phase_ != Phase::idle || !lead || lead->store != store || now < quietUntil_) return;
-    misses_ = 0;
+    beginAttempt();
     to(Phase::checking, now);
-    ask(store, Ask::status, "STATUS", checkWithin_ms, now);
+    ask(store, Statement::status, "STATUS", now);
 }
 
 void Succession::tick(Nanos now) {
     if (!mine_ || changing_) return;
-    const auto lead = known();
     switch (phase_) {
-        case Phase::idle: {
-            if (!lead) {
-                if (now - askedAt_ >= askAgain) found(now);
-                break;
-            }
-            if (!lead->steady) {  // begun by a member that is gone, or by this one in an earlier life
-                log("taking over what " + lead->holder + " began");
-                guard(now, false);
-                break;
-            }
-            const Json* body = record(lead->store);
-            if (body && body->value("standing", "") == "winding_down" && now >= quietUntil_) {
-                guard(now, true);
-                break;
-            }
-            // Who belongs to the service is kept with the lead, as after a loss only that tells who must be
-            // heard.
-            std::set<std::string> replicas;
-            for (const std::string& store : listed())
-                if (store != lead->store) replicas.insert(store);
-            if (replicas != lead->replicas && now >= quietUntil_) {
-                // One that the registry lacks may only not have called yet: it stays until it is known to be
-                // gone.
-                for (const std::string& store : lead->replicas) {
-                    const board::Record* r = means_.board().find("store/" + store);
-                    if (!r || !r->body.is_null()) replicas.insert(store);
-                }
-                if (replicas == lead->replicas) break;
-                Lead next = *lead;
-                next.replicas = replicas;
-                ++next.seq;
-                changing_ = true;
-                means_.change(service_, lead->seq, next, [this](auto) { changing_ = false; });
-            }
-            break;
-        }
+        case Phase::idle:
+            return tickIdle(now);
         case Phase::founding:
         case Phase::checking:
-            if (now - since_ > millis(2000)) to(Phase::idle, now);
-            break;
+            if (now - since_ > asksWithin) to(Phase::idle, now);
+            return;
         case Phase::guarding:
-            if (now - since_ > millis(3000)) to(Phase::idle, now);
-            break;
+            if (now - since_ > guardsWithin) to(Phase::idle, now);
+            return;
         case Phase::pausing:
-            if (now - askedAt_ >= askAgain) pauseAll(now);
-            weigh(now);
-            break;
+            return tickPausing(now);
         case Phase::promoting:
-            if (now - since_ > millis(1500)) promote(target_, now);
-            break;
-        case Phase::rising: {
-            const Json* body = record(target_);
-            if (body && body->value("role", "") == "head_office" && now - since_ > millis(50))
-                ask(target_, Ask::status, "STATUS", statusWithin_ms, now), to(Phase::settling, now);
-            else if (now - since_ > risesWithin)
-                ask(target_, Ask::status, "STATUS", statusWithin_ms, now), to(Phase::settling, now);
-            break;
-        }
+            return tickPromoting(now);
+        case Phase::rising:
+            return tickRising(now);
         case Phase::settling:
-            if (now - askedAt_ >= askAgain) ask(target_, Ask::status, "STATUS", statusWithin_ms, now);
-            if (now - since_ > risesWithin) pauseAll(now), to(Phase::pausing, now);
-            break;
+            return tickSettling(now);
     }
 }
 
-// No lead is on record: the store that says it leads is asked for its term.
+// Idle: from the start or the end of a succession until one is due.
+void Succession::tickIdle(Nanos now) {
+    const auto lead = known();
+    if (!lead) {
+        if (now - askedAt_ >= askAgain) found(now);
+        return;
+    }
+    if (!lead->steady) {  // begun by a member that is gone, or by this one in an earlier life or attempt
+        log("taking over what " + lead->holder + " began");
+        return guard(now, false);
+    }
+    const Json* body = record(lead->store);
+    if (body && body->value("standing", "") == "winding_down" && now >= quietUntil_) return guard(now, true);
+    // An owner that died behind its last write may have left replicas paused.
+    if (lead->fence != resumedFence_) {
+        resumedFence_ = lead->fence;
+        toResume_.insert(lead->replicas.begin(), lead->replicas.end());
+        toResume_.erase(lead->store);
+        resumeUntilAskedFrom_ = now;
+    }
+    if (!toResume_.empty()) {
+        if (now - resumedAt_ >= askAgain) {
+            resumedAt_ = now;
+            confirm(*lead, now);
+        }
+        return;
+    }
+    updateReplicas(*lead, now);
+}
+
+// Who belongs to the service is kept with the lead, as after a loss only that tells who must be heard.
+void Succession::updateReplicas(const Lead& lead, Nanos now) {
+    std::set<std::string> replicas;
+    for (const std::string& store : listed())
+        if (store != lead.store) replicas.insert(store);
+    if (replicas == lead.replicas || now < quietUntil_) return;
+    // One that the registry lacks may only not have called yet: it stays until it is known to be gone.
+    for (const std::string& store : lead.replicas) {
+        const board::Record* r = means_.board().find("store/" + store);
+        if (!r || !r->body.is_null()) replicas.insert(store);
+    }
+    if (replicas == lead.replicas) return;
+    Lead next = lead;
+    next.replicas = replicas;
+    ++next.seq;
+    changing_ = true;
+    means_.change(service_, lead.seq, next, [this](auto) { changing_ = false; });
+}
+
+// Founding: no lead is on record. From the question to the store that says it leads until its answer.
 void Succession::found(Nanos now) {
     for (const std::string& store : listed()) {
         const Json* body = record(store);
         if (body->value("role", "") != "head_office") continue;
+        beginAttempt();
         to(Phase::founding, now);
-        ask(store, Ask::status, "STATUS", statusWithin_ms, now);
-        return;
+        askedAt_ = now;
+        return ask(store, Statement::status, "STATUS", now);
     }
 }
 
-// Has it written to a majority that the lead may change; from a lease later on no front reads from the old
-// lead without proof. The fence grows, so that what an earlier owner still sends changes nothing.
+void Succession::founded(const Ask& asked, const std::optional<StoreRow>& row, Nanos now) {
+    to(Phase::idle, now);
+    if (!row || !row->primary) return;
+    Lead lead;
+    lead.store = asked.store;
+    lead.term = row->term;
+    lead.seq = 1;
+    lead.holder = self_;
+    lead.steady = true;
+    for (const std::string& store : listed())
+        if (store != asked.store) lead.replicas.insert(store);
+    changing_ = true;
+    means_.change(service_, 0, lead, [this](std::optional<Lead> stands) {
+        changing_ = false;
+        if (stands) log("is " + stands->store + " in term " + std::to_string(stands->term));
+    });
+}
+
+// Checking: from a front's complaint until the lead's answer. Another store may lead by then.
+void Succession::checked(const Ask& asked, const std::optional<StoreRow>& row, Nanos now) {
+    to(Phase::idle, now);
+    const auto lead = known();
+    if (!lead || lead->store != asked.store) return;
+    if (!row || !row->primary) return guard(now, false);
+    quietUntil_ = now + believed;
+}
+
+// Guarding: from the beginning of a succession until a majority holds that the lead may change. From a lease
+// later on no front reads from the old lead without proof. The fence grows each time, so that what an earlier
+// owner, life or attempt still sends is of a lower one.
 void Succession::guard(Nanos now, bool planned) {
     const auto lead = known();
     if (!lead) return;
-    planned_ = planned;
+    beginAttempt();
+    planned_ = planned && lead->steady;
+    predecessor_ = lead->fence > 0 && lead->fence != ownFence_;
+    tookOver_ = !lead->steady;
     rows_.clear();
     paused_.clear();
-    refused_.clear();
+    toResume_.clear();
+    resumedFence_.reset();
     target_.clear();
-    deadHeard_ = false;
     to(Phase::guarding, now);
     Lead next = *lead;
     next.steady = false;
@@ -215,162 +353,229 @@
     ++next.fence;
     ++next.seq;
     changing_ = true;
-    means_.change(service_, lead->seq, next, [this, planned](std::optional<Lead> stands) {
+    const auto ended = [this, begun = now, attempt = attempt_](std::optional<Lead> stands) {
         changing_ = false;
-        if (!stands || phase_ != Phase::guarding) return;
+        if (!stands || attempt != attempt_) return;
         lead_ = *stands;
-        log(planned ? "to pass on from " + lead_.store + " which winds down"
-                    : "lost, was " + lead_.store + "; fence " + std::to_string(lead_.fence));
+        ownFence_ = lead_.fence;
+        confirmedAt_ = begun;
+        log(planned_ ? "to pass on from " + lead_.store + " which winds down"
+                     : "lost, was " + lead_.store + "; fence " + std::to_string(lead_.fence));
         guardedAt_ = 0;  // set by the first tick behind
         phase_ = Phase::pausing;
         askedAt_ = 0;
-        pauseTerm_ = 0;
-    });
+        pauseTerm_ = lead_.term;
+        verifyingSince_ = 0;
+    };
+    means_.change(service_, lead->seq, next, ended);
 }
 
-void Succession::pauseAll(Nanos now) {
+// Pausing: from the register's write until enough replicas were heard to stand still, asked for after the
+// wait, or until the old primary turns out to be well, or another to lead already.
+void Succession::tickPausing(Nanos now) {
     if (guardedAt_ == 0) guardedAt_ = since_ = now;
-    // All are asked how far they are and which term is newest, then those that must stand still are paused
-    // above it.
-    std::vector<std::string> others(lead_.replicas.begin(), lead_.replicas.end());
-    for (const std::string& store : listed())
-        if (store != lead_.store && !lead_.replicas.count(store)) others.push_back(store);
-    if (planned_ && target_.empty()) {
-        for (const std::string& store : others)
-            if (accepting(store) && (target_.empty() || store < target_)) target_ = store;
-        if (target_.empty()) return standDown(now);
+    if (planned_ && target_.empty() && !chooseTarget()) return standDown(now);
+    if (planned_ && now - guardedAt_ > waitsBeforePromotion() + catchesUpWithin) return standDown(now);
+    if (now - askedAt_ >= askAgain) askAll(now);
+    weigh(now);
+}
+
+// Planned: the first that accepts work. It goes on receiving until the others have nothing that it lacks.
+bool Succession::chooseTarget() {
+    for (const std::string& store : others())
+        if (accepting(store) && (target_.empty() || store < target_)) target_ = store;
+    return !target_.empty();
+}
+
+void Succession::askAll(Nanos now) {
+    askedAt_ = now;
+    if (!planned_) ask(lead_.store, Statement::status, "STATUS", now);
+    if (verifyingSince_ == 0) {
+        // One that was promoted by an owner that did not live to say so ends the wait.
+        if (tookOver_)
+            for (const std::string& store : others()) ask(store, Statement::status, "STATUS", now);
+        return;
     }
-    pauseTerm_ = std::max(pauseTerm_, lead_.term + 1);
-    for (const std::string& store : others) {
-        if ((planned_ && store == target_) || refused_.erase(store))
-            ask(store, Ask::status, "STATUS", statusWithin_ms, now);
+    if (confirmed(now)) return pauseReplicas(now);
+    confirm(lead_, now);
+}
+
+// Each PAUSE has a term of its own, above all before: it is never said twice, and its row shows that the
+// replica stands still since.
+void Succession::pauseReplicas(Nanos now) {
+    askedAt_ = now;
+    ++pauseTerm_;
+    for (const std::string& store : others()) {
+        if (planned_ &&
+            store == target_)  // shows its row like STATUS, should an earlier owner have paused it
+            ask(store, Statement::resume, "RESUME", now);
         else if (!paused_.count(store))
-            ask(store, Ask::pause, "PAUSE " + std::to_string(pauseTerm_), statusWithin_ms, now);
+            pause(store, now);
     }
-    if (!planned_) ask(lead_.store, Ask::status, "STATUS", statusWithin_ms, now);
-    askedAt_ = now;
 }
 
-// Promotes where all that must be heard were heard and no front can still believe in the old lead.
-void Succession::weigh(Nanos now) {
-    if (guardedAt_ == 0 || now - guardedAt_ < lease_) return;
-    std::set<std::string> needed = lead_.replicas;
-    for (const std::string& store : listed())
-        if (store != lead_.store) needed.insert(store);
-    std::size_t heard = 0;
-    for (const std::string& store : needed)
-        heard += planned_ && store == target_ ? rows_.count(store) : paused_.count(store);
-    // An acknowledged commit is on as many replicas as are synchronous: of any others one may be missing.
+void Succession::pause(const std::string& store, Nanos now) {
+    pausesOverAt_ = *confirmedAt_ + confirmedFor() + millis(statementWithin_ms);
+    ask(store, Statement::pause, "PAUSE " + std::to_string(pauseTerm_), now);
+}
+
+void Succession::rowWhilePausing(const Ask& asked, const std::optional<StoreRow>& row, Nanos now) {
+    if (!row) {
+        // Perhaps a later term was said to it before, or it leads by now: it is asked for the term it holds.
+        if (asked.what == Statement::pause) ask(asked.store, Statement::status, "STATUS", now);
+        return;
+    }
+    if (asked.store == lead_.store) return rowOfOldPrimary(asked, *row, now);
+    if (row->primary && row->term > lead_.term)  // promoted by an owner that did not live to say so
+        return settle(asked.store, row->term, now);
+    const bool target = planned_ && asked.store == target_;
+    if (asked.what != Statement::pause && !target) {
+        // It still receives, or was paused by another: what it says of its position does not last.
+        pauseTerm_ = std::max(pauseTerm_, row->held) + 1;
+        if (verifyingSince_ != 0 && confirmed(now) && !paused_.count(asked.store)) pause(asked.store, now);
+        return;
+    }
+    if (!target) paused_.insert(asked.store);
+    rows_[asked.store] = *row;
+    weigh(now);
+}
+
+// It lives and leads on, if no promotion can be under way: one that an earlier owner or attempt asked for has
+// shown when the wait is over.
+void Succession::rowOfOldPrimary(const Ask& asked, const StoreRow& row, Nanos now) {
+    if (planned_ || !row.primary || row.term != lead_.term) return;
+    if (tookOver_ && asked.at < guardedAt_ + waitsBeforePromotion()) return;
+    log(lead_.store + " answers again and leads on");
+    standDown(now);
+}
+
+// Replicas are paused only behind the wait: what an earlier owner said to them is over by now, so only a
+// restart can set them going again.
+void Succession::verify(Nanos now) {
+    verifyingSince_ = now;
+    asks_.clear();
+    rows_.clear();
+    paused_.clear();
+    askAll(now);
+}
+
+// An acknowledged commit is on as many replicas as are synchronous: of any others one may be missing.
+bool Succession::enoughHeard() const {
+    const std::vector<std::string> needed = others();
+    const auto heard = static_cast<std::size_t>(std::count_if(
+        needed.begin(), needed.end(), [&](const std::string& store) { return rows_.count(store) > 0; }));
     const auto sync = static_cast<std::size_t>(std::max(0, means_.syncReplicas(service_)));
     const std::size_t mayMiss =
         sync == 0 ? needed.size() - std::min<std::size_t>(1, needed.size()) : sync - 1;
-    if (needed.empty() || heard + mayMiss < needed.size()) return;
-    if (planned_) {
-        Mark furthest;
-        for (const auto& [store, row] : rows_)
-            if (store != target_) furthest = std::max(furthest, row.received);
-        if (rows_.at(target_).received < furthest) return;  // asked again until it has it all
-        return promote(target_, now);
-    }
+    return !needed.empty() && heard + mayMiss >= needed.size();
+}
+
+std::string Succession::furthest() const {
     std::string best;
     for (const auto& [store, row] : rows_) {
-        if (store == lead_.store || !paused_.count(store)) continue;
-        const bool better = best.empty() || rows_.at(best).received < row.received ||
-                            (rows_.at(best).received == row.received && accepting(store) && !accepting(best));
-        if (better) best = store;
+        if (best.empty()) {
+            best = store;
+            continue;
+        }
+        const Mark& most = rows_.at(best).received;
+        const bool preferred = accepting(store) && !accepting(best);
+        if (most < row.received || (most == row.received && preferred)) best = store;
     }
-    if (!best.empty()) promote(best, now);
+    return best;
 }
 
-void Succession::promote(const std::string& target, Nanos now) {
-    target_ = target;
+// Promotes where all that must be heard were heard, no front can still believe in the old lead, and no
+// earlier owner's call can still arrive where that matters.
+void Succession::weigh(Nanos now) {
+    if (guardedAt_ == 0 || now - guardedAt_ < waitsBeforePromotion()) return;
+    if (verifyingSince_ == 0 || now - verifyingSince_ > verifiesWithin) return verify(now);
+    if (!enoughHeard()) return;
+    std::string best = furthest();
+    if (planned_) {
+        const auto target = rows_.find(target_);
+        if (target == rows_.end()) return;
+        if (target->second.received < rows_.at(best).received) return;  // asked again until it has it all
+        best = target_;
+    }
+    target_ = best;
     to(Phase::promoting, now);
-    const std::uint64_t no = means_.nextAsk(*this);
-    asks_[no] = Ask{target, Ask::promote};
-    log("promoting " + target + " with fence " + std::to_string(lead_.fence));
-    means_.outputs().push_back(ToPlatform{no, service_, target, self_, lead_.fence, 1200});
+    postedAt_ = 0;
+    post(now);
 }
 
-void Succession::promoted(std::uint64_t no, int status, Nanos now) {
-    const auto at = asks_.find(no);
-    if (at == asks_.end()) return;
-    const std::string store = at->second.store;
-    asks_.erase(at);
-    if (phase_ != Phase::promoting || store != target_) return;
-    if (status == 200) return to(Phase::rising, now);
-    log("promotion of " + target_ + " answered " + std::to_string(status));
-    if (status == 409) {  // a newer owner, or it does not run: begin again, above
-        to(Phase::idle, now);
-        quietUntil_ = now + millis(300);
-        return;
+// Promoting: from the choice of the target until the platform has taken its promotion. Within an attempt
+// only this target is asked for; another one needs a new attempt and so a new fence.
+void Succession::tickPromoting(Nanos now) {
+    if (posting_ != 0) return;
+    if (now - since_ > promotesWithin) return guard(now, planned_);
+    if (now - postedAt_ >= askAgain) post(now);
+}
+
+// The call leaves only while the confirmation that it rests on is fresh, and never beside another of ours.
+void Succession::post(Nanos now) {
+    if (posting_ != 0) return;
+    if (!confirmed(now)) return confirm(lead_, now);
+    posting_ = means_.nextAsk(*this);
+    postAttempt_ = attempt_;
+    log("promoting " + target_ + " with fence " + std::to_string(lead_.fence));
+    means_.outputs().push_back(ToPlatform{posting_, service_, target_, self_, lead_.fence, postWithin_ms,
+                                          *confirmedAt_ + confirmedFor()});
+}
+
+void Succession::promoted(std::uint64_t no, PromotionAnswer answer, Nanos now) {
+    if (no != posting_) return;
+    posting_ = 0;
+    postedAt_ = now;
+    if (phase_ != Phase::promoting || postAttempt_ != attempt_) return;  // of an earlier attempt
+    if (answer == PromotionAnswer::accepted) return to(Phase::rising, now);
+    if (answer == PromotionAnswer::notSent) return;
+    if (answer == PromotionAnswer::conflict) {  // a newer owner, or it does not run: begin again, above
+        quietUntil_ = now + quietAfterConflict;
+        return abandon("promotion of " + target_ + " was a conflict", now);
     }
-    // Slow, down or too many: tick() asks again.
-    since_ = now - millis(1200);
+    log("promotion of " + target_ + (answer == PromotionAnswer::silent ? " not answered" : " refused"));
+}
+
+// Rising: from the platform's answer until the target's beat says that it leads, or a while has passed.
+void Succession::tickRising(Nanos now) {
+    const Json* body = record(target_);
+    const bool shows = body && body->value("role", "") == "head_office" && now - since_ > beatShows;
+    if (!shows && now - since_ <= risesWithin) return;
+    to(Phase::settling, now);
+    askedAt_ = now;
+    ask(target_, Statement::status, "STATUS", now);
+}
+
+// Settling: until the target itself answers that it leads, and in which term.
+void Succession::tickSettling(Nanos now) {
+    if (now - since_ > risesWithin) return guard(now, planned_);
+    if (now - askedAt_ < askAgain) return;
+    askedAt_ = now;
+    ask(target_, Statement::status, "STATUS", now);
 }
 
 void Succession::answered(std::uint64_t no, std::optional<StoreRow> row, Nanos now) {
     const auto at = asks_.find(no);
-    if (at == asks_.end()) return;
+    if (at == asks_.end()) return;  // of an earlier attempt
     const Ask asked = at->second;
     asks_.erase(at);
-    if (asked.what == Ask::resume) return;
     switch (phase_) {
-        case Phase::founding: {
-            to(Phase::idle, now);
-            if (!row || !row->primary) return;
-            Lead lead;
-            lead.store = asked.store;
-            lead.term = row->term;
-            lead.seq = 1;
-            lead.holder = self_;
-            lead.steady = true;
-            for (const std::string& store : listed())
-                if (store != asked.store) lead.replicas.insert(store);
-            changing_ = true;
-            means_.change(service_, 0, lead, [this](std::optional<Lead> stands) {
-                changing_ = false;
-                if (stands) log("is " + stands->store + " in term " + std::to_string(stands->term));
-            });
+        case Phase::idle:
+            if (asked.what == Statement::resume && row && asked.at >= resumeUntilAskedFrom_)
+                toResume_.erase(asked.store);
             return;
-        }
+        case Phase::founding:
+            return founded(asked, row, now);
         case Phase::checking:
-            if (row && row->primary) {
-                quietUntil_ = now + believed;
-                return to(Phase::idle, now);
-            }
-            return guard(now, false);
+            return checked(asked, row, now);
         case Phase::pausing:
-            if (!row) {
-                // Perhaps it was paused and the answer was lost, as the same term would be refused then; or
-                // it leads by now. It is asked how it is, then paused above that.
-                if (asked.what == Ask::pause) {
-                    ++pauseTerm_;
-                    refused_.insert(asked.store);
-                }
-                return;
-            }
-            if (asked.store == lead_.store) {
-                // It lives: nothing was promoted yet, so it leads on.
-                if (!planned_ && row->primary && row->term == lead_.term) {
-                    log(lead_.store + " answers again and leads on");
-                    return standDown(now);
-                }
-                return;
-            }
-            if (row->primary && row->term > lead_.term) {  // promoted by an owner that did not live to say so
-                target_ = asked.store;
-                return settle(asked.store, row->term, now);
-            }
-            if (row->held > lead_.term)
-                paused_.insert(asked.store);
-            else if (!planned_ || asked.store != target_)
-                return;  // it still receives: what it says of its position does not last
-            rows_[asked.store] = *row;
-            return weigh(now);
+            return rowWhilePausing(asked, row, now);
         case Phase::settling:
             if (row && row->primary && asked.store == target_) settle(asked.store, row->term, now);
             return;
-        default:
+        case Phase::guarding:
+        case Phase::promoting:
+        case Phase::rising:
             return;
     }
 }
@@ -385,34 +590,45 @@
     });
     next.store = store;
     next.term = term;
-    next.steady = true;
-    ++next.seq;
-    changing_ = true;
-    means_.change(service_, lead_.seq, next, [this](std::optional<Lead> stands) {
-        changing_ = false;
-        if (stands) log("is " + stands->store + " in term " + std::to_string(stands->term));
-    });
     quietUntil_ = now + believed;
-    to(Phase::idle, now);
-    for (const std::string& paused : paused_)
-        if (paused != store) ask(paused, Ask::resume, "RESUME", statusWithin_ms, now);
-    paused_.clear();
+    becomeSteady(std::move(next), now);
 }
 
 // Nothing was promoted: replicas go on, and the lead is as it was.
 void Succession::standDown(Nanos now) {
-    for (const std::string& store : paused_) ask(store, Ask::resume, "RESUME", statusWithin_ms, now);
-    // One whose answer was lost may be paused all the same.
-    for (const std::string& store : lead_.replicas)
-        if (!paused_.count(store) && !planned_) ask(store, Ask::resume, "RESUME", statusWithin_ms, now);
-    paused_.clear();
-    Lead next = lead_;
+    quietUntil_ = now + quietAfterStandDown;
+    becomeSteady(lead_, now);
+}
+
+// Replicas are resumed only once it stands that the lead is steady: a later owner may have paused them.
+void Succession::becomeSteady(Lead next, Nanos now) {
+    beginAttempt();
     next.steady = true;
     ++next.seq;
-    changing_ = true;
-    means_.change(service_, lead_.seq, next, [this](auto) { changing_ = false; });
-    quietUntil_ = now + millis(1000);
     to(Phase::idle, now);
+    changing_ = true;
+    const auto ended = [this, begun = now, attempt = attempt_](std::optional<Lead> stands) {
+        changing_ = false;
+        if (!stands || attempt != attempt_) return;
+        log("is " + stands->store + " in term " + std::to_string(stands->term));
+        // All of them: an earlier owner may have been cut off before it had resumed what it paused.
+        for (const std::string& store : others()) toResume_.insert(store);
+        toResume_.insert(lead_.store);
+        toResume_.erase(stands->store);
+        resumedFence_ = stands->fence;
+        // A PAUSE of an earlier owner, or one of ours, may still arrive until then.
+        resumeUntilAskedFrom_ = std::max(guardedAt_ + lease_, pausesOverAt_);
+        resumedAt_ = begun;
+        confirmedAt_ = begun;
+        resume(begun);
+    };
+    means_.change(service_, lead_.seq, next, ended);
+}
+
+// RESUME changes nothing where a replica receives, so it is said again until it was answered.
+void Succession::resume(Nanos now) {
+    std::erase_if(toResume_, [&](const std::string& store) { return !record(store); });
+    for (const std::string& store : toResume_) ask(store, Statement::resume, "RESUME", now);
 }
 
 }  // namespace granitereel::control
--- a/src/control/succession.hpp
+++ b/src/control/succession.hpp
@@ -1,7 +1,7 @@
 // Who leads a service, and how the lead passes on: planned, from a primary that winds down, or after a
 // primary's death. One member of the core owns this duty for a service at a time; the register of the lead
-// carries the fence. Free of I/O, clocks and chance. docs/system.md has the argument for why nothing
-// acknowledged is lost.
+// carries the fencing token. Free of I/O, clocks and chance. docs/control-safety/promotion.md has the
+// argument for why nothing acknowledged is lost and why a late or frozen owner changes nothing.
 #pragma once
 
 #include <functional>
@@ -38,22 +38,54 @@
 Json written(const Lead& lead);
 std::optional<Lead> readLead(const Json& body);
 
+// Over the spans that promotion measures, the steady clocks of two machines differ by less than this.
+constexpr Nanos driftOfClocks = millis(50);
+
+// What the platform promises of its promotions, from the settings' guarantees.
+struct PlatformGuarantees {
+    bool fenceChecked = false;  // it refuses a fence lower than one it has seen
+    Nanos lease = 0;            // holders must not take turns within this; 0: nothing said
+};
+
+// How a call of POST /promotions ended.
+enum class PromotionAnswer {
+    accepted,     // the store leads soon, or leads already
+    conflict,     // the fence is too low, or the store is not running
+    unavailable,  // the platform refused for now: too many calls, or a fault of its own
+    silent,       // no whole answer in time: it may have been carried out
+    notSent,      // its deadline had passed before it could leave
+};
+// The status of the HTTP answer; `transport::noAnswer` and `transport::notSent` where there was none.
+PromotionAnswer promotionAnswerOf(int status);
+
+// What a majority read of the lead's register showed.
+enum class Confirmation {
+    stands,    // the lead is as expected, and this member holds its lease
+    replaced,  // another value stands
+    unknown,   // no majority in time, or no lease
+};
+
 class Succession {
 public:
-    // What it needs of the member: a change of the lead's register by compare and set on `seq`, and the
-    // numbers of asks.
+    // What it needs of the member: the lead's register and the numbers of asks.
     struct Means {
         virtual ~Means() = default;
         virtual Outputs& outputs() = 0;
         virtual std::uint64_t nextAsk(Succession& asker) = 0;
+        // Compare-and-set on `seq`. `done` gets the new value only if this very call wrote it.
         virtual void change(const std::string& service, std::uint64_t ifSeq, Lead to,
                             std::function<void(std::optional<Lead>)> done) = 0;
+        // A majority read begun now; `done` is also told the time.
+        virtual void confirm(const std::string& service, const Lead& expected,
+                             std::function<void(Confirmation, Nanos now)> done) = 0;
         virtual const board::Board& board() const = 0;
         virtual int syncReplicas(const std::string& service) const = 0;
     };
 
-    // `lease`: how long a front may believe what it was told of the lead without asking again.
-    Succession(std::string self, std::string service, Nanos lease, Means& means);
+    // `lease`: how long a front may believe what it was told of the lead without asking again, with the drift
+    // of clocks.
+    Succession(std::string self, std::string service, Nanos lease, Means& means,
+               PlatformGuarantees platform = {});
 
     // Whether this member is the one that ought to act now.
     void own(bool mine, Nanos now);
@@ -61,44 +93,98 @@
     // A front can't reach the store, or hears nothing from it.
     void suspected(const std::string& store, Nanos now);
     void answered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now);
-    void promoted(std::uint64_t ask, int status, Nanos now);
+    void promoted(std::uint64_t ask, PromotionAnswer answer, Nanos now);
     // For the page of states.
     const char* phase() const;
 
+    // How long after the start of a confirmation a call that rests on it may leave. A statement that leaves
+    // then is over before a later owner, who waits `lease` from its own write on, counts any replica as
+    // paused.
+    Nanos confirmedFor() const;
+    // How long after its own write this owner waits before it calls the platform.
+    Nanos waitsBeforePromotion() const;
+
 private:
     enum class Phase { idle, founding, checking, guarding, pausing, promoting, rising, settling };
+    enum class Statement { status, pause, resume };
     struct Ask {
         std::string store;
-        enum { status, pause, resume, promote } what;
+        Statement what;
+        Nanos at = 0;
     };
     std::optional<Lead> known() const;
     std::vector<std::string> listed() const;  // stores of the service that may still be there
+    std::vector<std::string> others() const;  // replicas on record and listed ones
     const Json* record(const std::string& store) const;
     bool accepting(const std::string& store) const;
     void to(Phase phase, Nanos now);
-    void ask(const std::string& store, int what, const std::string& text, int within_ms, Nanos now);
+    void ask(const std::string& store, Statement what, const std::string& text, Nanos now);
+    void beginAttempt();
+    void abandon(const std::string& why, Nanos now);
+    bool confirmed(Nanos now) const { return confirmedAt_ && now - *confirmedAt_ < confirmedFor(); }
+    void confirm(const Lead& lead, Nanos now);
+    void confirmationEnded(Confirmation confirmation, Nanos begun, Nanos now);
+
+    void tickIdle(Nanos now);
+    void tickPausing(Nanos now);
+    void tickPromoting(Nanos now);
+    void tickRising(Nanos now);
+    void tickSettling(Nanos now);
+    void updateReplicas(const Lead& lead, Nanos now);
     void found(Nanos now);
+    void founded(const Ask& asked, const std::optional<StoreRow>& row, Nanos now);
+    void checked(const Ask& asked, const std::optional<StoreRow>& row, Nanos now);
     void guard(Nanos now, bool planned);
-    void pauseAll(Nanos now);
+    bool chooseTarget();
+    void askAll(Nanos now);
+    void pauseReplicas(Nanos now);
+    void pause(const std::string& store, Nanos now);
+    void rowWhilePausing(const Ask& asked, const std::optional<StoreRow>& row, Nanos now);
+    void rowOfOldPrimary(const Ask& asked, const StoreRow& row, Nanos now);
+    void verify(Nanos now);
+    bool enoughHeard() const;
+    std::string furthest() const;
     void weigh(Nanos now);
-    void promote(const std::string& target, Nanos now);
+    void post(Nanos now);
     void settle(const std::string& store, std::uint64_t term, Nanos now);
     void standDown(Nanos now);
+    void becomeSteady(Lead next, Nanos now);
+    void resume(Nanos now);
     void log(const std::string& line);
 
     const std::string self_, service_;
     const Nanos lease_;
+    const PlatformGuarantees platform_;
     Means& means_;
     Phase phase_ = Phase::idle;
     Nanos since_ = 0, guardedAt_ = 0, quietUntil_ = 0, askedAt_ = 0;
-    bool mine_ = false, planned_ = false, changing_ = false, deadHeard_ = false;
-    int misses_ = 0, refusals_ = 0;
+    bool mine_ = false, planned_ = false, changing_ = false;
     Lead lead_;
+
+    // Grows with each beginning anew: what was asked in an earlier attempt is answered in vain.
+    std::uint64_t attempt_ = 0;
+    std::map<std::uint64_t, Ask> asks_;
+    bool confirming_ = false;
+    std::optional<Nanos> confirmedAt_;  // when the last confirmation of `lead_` began
+    std::uint64_t ownFence_ = 0;        // the last one that this life wrote
+    bool predecessor_ = false;          // someone else may have called the platform under the fence before
+    bool tookOver_ = false;             // the lead was unsteady already: a promotion may be under way
+
     std::uint64_t pauseTerm_ = 0;
     std::string target_;
+    Nanos verifyingSince_ = 0;  // 0: the wait is not over
     std::map<std::string, StoreRow> rows_;
-    std::set<std::string> paused_, refused_;  // refused_: answered a PAUSE with none of its rows
-    std::map<std::uint64_t, Ask> asks_;
+    std::set<std::string> paused_;  // answered a PAUSE of this verification
+    Nanos pausesOverAt_ = 0;        // by then every PAUSE of ours has arrived, or never will
+
+    std::uint64_t posting_ = 0, postAttempt_ = 0;  // the call to the platform under way; 0: none
+    Nanos postedAt_ = 0;
+
+    std::set<std::string> toResume_;
+    Nanos resumedAt_ = 0, resumeUntilAskedFrom_ = 0;
+    // A steady lead of this fence had its replicas resumed by this life. Before the first promotion nobody
+    // paused any.
+    std::optional<std::uint64_t> resumedFence_ = 0;
 };
 
 }  // namespace granitereel::control
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -64,6 +64,8 @@
     s.syncIn_ms = seconds("guarantees.sync_in_s", s.syncIn_ms);
     s.drain_ms = table.at_path("guarantees.drain_ms").value_or(s.drain_ms);
     s.contact_ms = table.at_path("guarantees.contact_ms").value_or(s.contact_ms);
+    s.fenceChecked = table.at_path("guarantees.fence_checked").value_or(s.fenceChecked);
+    s.lease_ms = std::max(0, table.at_path("guarantees.lease_ms").value_or(s.lease_ms));
     s.platform = table.at_path("platform_api.address").value_or(std::string());
     if (const toml::array* duties = table.at_path("platform_api.assignments").as_array())
         for (const auto& duty : *duties) s.promotes |= duty.value_or(std::string()) == "promotion";
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -27,6 +27,9 @@
     int beatInterval_ms = 1000, grace_ms = 5000, drain_ms = 5000, contact_ms = 4000, syncIn_ms = 4000;
     std::string platform;   // address; empty: none
     bool promotes = false;  // whether promotions are the system's to make
+    // Whether the platform refuses a fence lower than one it has seen; unsaid counts as no.
+    bool fenceChecked = false;
+    int lease_ms = 0;  // holders of a duty must not take turns within this; 0: nothing said
 };
 
 // Throws InvalidSettings.
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -1,10 +1,14 @@
 #include "transport/http.hpp"
 
+#include <netinet/tcp.h>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "transport/call_status.hpp"
+
 namespace granitereel::transport {
 
 namespace {
@@ -125,7 +129,17 @@
 namespace {
 struct Call : std::enable_shared_from_this<Call> {
     explicit Call(asio::io_context& loop) : stream(loop) {}
+    // From now on a close drops what is unsent and resets the connection, also when the process is not there
+    // to close it: the system gives up unacknowledged bytes by itself.
+    void dropsOnClose(int within_ms) {
+        error_code ignored;
+        stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        const unsigned value = static_cast<unsigned>(within_ms);
+        ::setsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
+    }
     void end(int status) {
+        error_code ignored;
+        if (status > 0) stream.socket().set_option(asio::socket_base::linger(false, 0), ignored);
         if (auto told = std::exchange(done, nullptr)) told(status);
         stream.close();
     }
@@ -134,14 +148,17 @@
     http::response<http::string_body> response;
     beast::flat_buffer buffer;
     std::function<void(int)> done;
+    std::function<bool()> mayLeave;
 };
 }  // namespace
 
 void httpCall(asio::io_context& loop, const tcp::endpoint& where, const std::string& method,
               const std::string& path, const std::vector<std::pair<std::string, std::string>>& headers,
-              const std::string& body, int within_ms, std::function<void(int)> done) {
+              const std::string& body, int within_ms, std::function<void(int)> done,
+              std::function<bool()> mayLeave) {
     auto call = std::make_shared<Call>(loop);
     call->done = std::move(done);
+    call->mayLeave = std::move(mayLeave);
     call->request.method_string(method);
     call->request.target(path);
     call->request.version(11);
@@ -152,13 +169,16 @@
     call->request.body() = body;
     call->request.prepare_payload();
     call->stream.expires_after(std::chrono::milliseconds(within_ms));
-    call->stream.async_connect(where, [call](error_code ec) {
-        if (ec) return call->end(0);
+    call->stream.async_connect(where, [call, within_ms](error_code ec) {
+        if (ec) return call->end(noAnswer);
+        call->dropsOnClose(within_ms);
+        if (!call->mayLeave()) return call->end(notSent);
         http::async_write(call->stream, call->request, [call](error_code failed, std::size_t) {
-            if (failed) return call->end(0);
+            if (failed) return call->end(noAnswer);
             http::async_read(call->stream, call->buffer, call->response,
                              [call](error_code broken, std::size_t) {
-                                 call->end(broken ? 0 : static_cast<int>(call->response.result_int()));
+                                 const int status = static_cast<int>(call->response.result_int());
+                                 call->end(broken ? noAnswer : status);
                              });
         });
     });
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -37,9 +37,12 @@
     std::unordered_map<std::uint64_t, std::weak_ptr<Session>> open_;
 };
 
-// One call; `done` gets the status, or 0 where no whole answer came in time.
-void httpCall(asio::io_context& loop, const tcp::endpoint& where, const std::string& method,
-              const std::string& path, const std::vector<std::pair<std::string, std::string>>& headers,
-              const std::string& body, int within_ms, std::function<void(int status)> done);
+// One call over a connection of its own, sent once. `done` gets the status, or noAnswer or notSent
+// (transport/call_status.hpp). `mayLeave` is asked right before the request is written. A call that ends
+// without an answer is reset, so that what the system still held of it is dropped.
+void httpCall(
+    asio::io_context& loop, const tcp::endpoint& where, const std::string& method, const std::string& path,
+    const std::vector<std::pair<std::string, std::string>>& headers, const std::string& body, int within_ms,
+    std::function<void(int status)> done, std::function<bool()> mayLeave = [] { return true; });
 
 }  // namespace granitereel::transport
--- a/src/transport/store_call.cpp
+++ b/src/transport/store_call.cpp
@@ -15,7 +15,7 @@
         for (std::size_t cut; done && (cut = all.find("\r\n", used)) != all.npos; used = cut + 2) {
             const std::string_view line = all.substr(used, cut - used);
             if (!greeted) {
-                if (!line.starts_with("READY ")) end({});
+                if (!line.starts_with("READY ") || !mayLeave()) end({});
                 greeted = true;
                 if (done) stream->send("QUERY - " + text + "\r\n");
             } else if (line.starts_with("ROW ")) {
@@ -34,16 +34,18 @@
     std::string text;
     std::optional<std::string> row;
     std::function<void(std::optional<std::string>)> done;
+    std::function<bool()> mayLeave;
     bool greeted = false;
 };
 }  // namespace
 
 void storeCall(asio::io_context& loop, const tcp::endpoint& where, const std::string& service,
                const std::string& storeId, const std::string& text, int within_ms,
-               std::function<void(std::optional<std::string>)> done) {
+               std::function<void(std::optional<std::string>)> done, std::function<bool()> mayLeave) {
     auto call = std::make_shared<Call>(loop);
     call->text = text;
     call->done = std::move(done);
+    call->mayLeave = std::move(mayLeave);
     call->timer.expires_after(std::chrono::milliseconds(within_ms));
     // The timer alone keeps it: until it has ended, or the loop is gone.
     call->timer.async_wait([call](boost::system::error_code stopped) {
--- /dev/null
+++ b/standins/promotion_rig.hpp
@@ -0,0 +1,352 @@
+// Several owners of one service's duty in virtual time: a linearizable register, stores, a platform that
+// checks fences or doesn't, fronts that read under a lease. Calls take time and are lost, owners freeze
+// before any of their steps, die and come back as another life, are cut off, and each has a clock of its own.
+// Broken rules are collected in words.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/succession.hpp"
+#include "standins/databases.hpp"
+
+namespace granitereel::standins {
+
+using namespace granitereel::control;
+
+class PromotionRig {
+public:
+    struct Options {
+        bool fenceChecked = true;
+        Nanos platformLease = 0;
+        unsigned seed = 1;
+        int owners = 2;
+        int lostInHundred = 0;  // of calls to stores and to the platform, requests and answers alike
+    };
+    struct Post {
+        Nanos at;
+        std::string holder;
+        int life;
+        std::uint64_t fence;
+        std::string store;
+    };
+    // A member that may own the duty.
+    struct Owner final : Succession::Means {
+        PromotionRig& rig;
+        std::string name;
+        int life = 0;
+        Nanos offset = 0;
+        double rate = 1;
+        std::unique_ptr<Succession> succession;
+        board::Board known;
+        Outputs out;
+        std::uint64_t lastAsk = 0;
+        bool frozen = false, cutOff = false, storesCut = false, platformCut = false, mine = false;
+        int steps = 0, freezeAtStep = -1;
+        std::vector<std::function<void()>> waiting;  // what is due while it is frozen
+
+        Owner(PromotionRig& of, std::string called) : rig(of), name(std::move(called)) {}
+        Nanos clock() const { return offset + static_cast<Nanos>(static_cast<double>(rig.now) * rate); }
+        Outputs& outputs() override { return out; }
+        std::uint64_t nextAsk(Succession&) override { return ++lastAsk; }
+        const board::Board& board() const override { return known; }
+        int syncReplicas(const std::string&) const override { return 1; }
+        void change(const std::string&, std::uint64_t ifSeq, Lead to,
+                    std::function<void(std::optional<Lead>)> done) override {
+            const auto once = std::make_shared<std::function<void(std::optional<Lead>)>>(std::move(done));
+            rig.askRegister(
+                *this,
+                [this, ifSeq, to, once] {
+                    const bool applies = (rig.lead ? rig.lead->seq : 0) == ifSeq;
+                    if (applies) rig.write(to);
+                    rig.toOwner(*this, rig.delay(), [this, applies, to, once] {
+                        if (applies) known.put("lead/svc", {{to.seq, 0}, written(to)});
+                        if (const auto told = std::exchange(*once, nullptr))
+                            told(applies ? std::optional(to) : std::nullopt);
+                    });
+                },
+                [once] {
+                    if (const auto told = std::exchange(*once, nullptr)) told(std::nullopt);
+                });
+        }
+        void confirm(const std::string&, const Lead& expected,
+                     std::function<void(Confirmation, Nanos)> done) override {
+            const auto once = std::make_shared<std::function<void(Confirmation, Nanos)>>(std::move(done));
+            rig.askRegister(
+                *this,
+                [this, expected, once] {
+                    const bool stands = rig.lead && written(*rig.lead) == written(expected);
+                    rig.toOwner(*this, rig.delay(), [this, stands, once] {
+                        if (const auto told = std::exchange(*once, nullptr))
+                            told(stands ? Confirmation::stands : Confirmation::replaced, clock());
+                    });
+                },
+                [this, once] {
+                    if (const auto told = std::exchange(*once, nullptr)) told(Confirmation::unknown, clock());
+                });
+        }
+    };
+    // Reads from the lead without proof while its lease runs.
+    struct Front {
+        Nanos leaseUntil = 0, askedAt = 0;
+        std::string store;
+        bool frozen = false;
+    };
+
+    explicit PromotionRig(Options of) : options(of), chance(of.seed) {
+        for (int i = 0; i < options.owners; ++i) {
+            owners.push_back(std::make_unique<Owner>(*this, "m" + std::to_string(i)));
+            owners.back()->offset = Nanos(chance() % 1'000'000'000);
+            owners.back()->rate = 1 + (static_cast<int>(chance() % 11) - 5) / 1000.0;
+            start(*owners.back());
+        }
+        for (const std::string& store : databases.names()) beat(store);
+        fronts.resize(2);
+    }
+
+    void start(Owner& owner) {
+        ++owner.life;
+        owner.frozen = false;
+        owner.waiting.clear();
+        owner.out.clear();
+        owner.succession =
+            std::make_unique<Succession>(owner.name, "svc", frontLease + driftOfClocks, owner,
+                                         PlatformGuarantees{options.fenceChecked, options.platformLease});
+        owner.mine = false;
+        for (const auto& [name, record] : truth.all()) owner.known.put(name, record);
+    }
+    // Its link is back: it is told what it lacks.
+    void synchronise(Owner& owner) {
+        for (const auto& [name, record] : truth.all())
+            toOwner(owner, delay(), [&owner, name, record] { owner.known.put(name, record); });
+    }
+    void kill(Owner& owner) {
+        owner.succession.reset();
+        ++owner.life;
+        owner.waiting.clear();
+        owner.out.clear();
+    }
+    void freeze(Owner& owner, Nanos time) {
+        owner.frozen = true;
+        at(now + time, [this, &owner, life = owner.life] {
+            if (owner.life == life) thaw(owner);
+        });
+    }
+    void thaw(Owner& owner) {
+        owner.frozen = false;
+        // What is due is seen in any order.
+        auto due = std::exchange(owner.waiting, {});
+        std::shuffle(due.begin(), due.end(), chance);
+        for (auto& each : due) step(owner, std::move(each));
+    }
+    void own(Owner& owner, bool mine) {
+        if (!owner.succession || owner.mine == mine) return;
+        owner.mine = mine;
+        toOwner(owner, 0, [&owner] { owner.succession->own(owner.mine, owner.clock()); });
+    }
+    void suspect(Owner& owner, const std::string& store) {
+        toOwner(owner, 0, [&owner, store] { owner.succession->suspected(store, owner.clock()); });
+    }
+    void beat(const std::string& store, const std::string& standing = "accepting") {
+        standings[store] = standing;
+        if (dark.count(store)) return;
+        publish("store/" + store, {{++version, 0},
+                                   {{"service", "svc"},
+                                    {"address", store},
+                                    {"standing", standing},
+                                    {"role", databases.roleOf(store)}}});
+    }
+    void crash(const std::string& store, bool on) {
+        on ? (void)dark.insert(store) : (void)dark.erase(store);
+        databases.dark(store, on);
+    }
+    // A client's write at the store that leads; acknowledged if a replica has it.
+    void clientWrites() {
+        const std::string id = "w" + std::to_string(++writes);
+        const int line = databases.connect(databases.lead());
+        databases.said(line, "GREET svc w " + databases.lead());
+        const auto told = databases.said(line, "QUERY " + id + " WRITE x 1");
+        if (told && told->starts_with("DONE")) acknowledged.push_back(id);
+        databases.closed(line);
+    }
+
+    void run(Nanos time) {
+        for (const Nanos until = now + time; now < until;) {
+            now += millis(1);
+            while (!events.empty() && events.begin()->first <= now) {
+                const auto due = std::move(events.begin()->second);
+                events.erase(events.begin());
+                due();
+            }
+            const Nanos turn = now / millis(1);
+            if (turn % 50 == 0)
+                for (auto& owner : owners)
+                    toOwner(*owner, 0, [o = owner.get()] { o->succession->tick(o->clock()); });
+            if (turn % 500 == 0)
+                for (const auto& [store, standing] : std::map(standings)) beat(store, standing);
+            for (Front& front : fronts) readUnderLease(front);
+        }
+    }
+    // Replicas that stand still, by what they say themselves.
+    std::vector<std::string> pausedReplicas() {
+        std::vector<std::string> all;
+        for (const std::string& store : databases.names()) {
+            if (dark.count(store)) continue;
+            const auto row = say(store, "STATUS");
+            if (row && row->held > 0) all.push_back(store);
+        }
+        return all;
+    }
+
+    Options options;
+    Databases databases{"svc", 3, 1};
+    std::mt19937 chance;
+    Nanos now = millis(1'000'000);
+    std::vector<std::unique_ptr<Owner>> owners;
+    std::vector<Front> fronts;
+    std::optional<Lead> lead;
+    std::vector<Post> posts;  // as the platform saw them
+    std::set<std::string> dark, hiddenFromControl;
+    std::vector<std::string> acknowledged, faults;
+    static constexpr Nanos frontLease = millis(700);
+
+private:
+    friend struct Owner;
+    void at(Nanos when, std::function<void()> what) { events.emplace(when, std::move(what)); }
+    Nanos delay() { return millis(1) + Nanos(chance() % 4 ? chance() % 5'000'000 : chance() % 60'000'000); }
+    bool lost() { return static_cast<int>(chance() % 100) < options.lostInHundred; }
+
+    void toOwner(Owner& owner, Nanos in, std::function<void()> what) {
+        at(now + in, [this, &owner, life = owner.life, what = std::move(what)] {
+            if (owner.life == life) step(owner, what);
+        });
+    }
+    void step(Owner& owner, std::function<void()> what) {
+        if (!owner.succession) return;
+        if (!owner.frozen && ++owner.steps == owner.freezeAtStep) freeze(owner, millis(20'000));
+        if (owner.frozen) return owner.waiting.push_back(std::move(what));
+        what();
+        // What it wants done leaves in steps of its own, as it may freeze before each.
+        for (Output& each : std::exchange(owner.out, {})) {
+            if (auto* ask = std::get_if<ToStore>(&each))
+                toOwner(owner, Nanos(chance() % 2'000'000),
+                        [this, &owner, ask = *ask] { leave(owner, ask); });
+            if (auto* post = std::get_if<ToPlatform>(&each))
+                toOwner(owner, Nanos(chance() % 2'000'000),
+                        [this, &owner, post = *post] { leave(owner, post); });
+        }
+    }
+    void askRegister(Owner& owner, std::function<void()> evaluate, std::function<void()> gaveUp) {
+        toOwner(owner, Nanos(chance() % 2'000'000), [this, &owner, evaluate = std::move(evaluate)] {
+            at(now + delay(), [&owner, evaluate] {
+                if (!owner.cutOff) evaluate();
+            });
+        });
+        toOwner(owner, millis(900), std::move(gaveUp));
+    }
+    void write(const Lead& to) {
+        lead = to;
+        publish("lead/svc", {{to.seq, 0}, written(to)});
+    }
+    void publish(const std::string& name, board::Record record) {
+        truth.put(name, record);
+        for (auto& owner : owners)
+            if (!owner->cutOff)
+                toOwner(*owner, delay(), [o = owner.get(), name, record] { o->known.put(name, record); });
+    }
+    std::optional<StoreRow> say(const std::string& store, const std::string& text) {
+        const int line = databases.connect(store);
+        databases.said(line, "GREET svc control " + store);
+        const auto told = databases.said(line, "QUERY - " + text);
+        databases.closed(line);
+        if (!told || !told->starts_with("ROW ")) return std::nullopt;
+        return readRow(told->substr(4, told->find("\r\n") - 4));
+    }
+    void leave(Owner& owner, const ToStore& ask) {
+        const auto none = [&owner, no = ask.ask] {
+            owner.succession->answered(no, std::nullopt, owner.clock());
+        };
+        if (owner.clock() >= ask.notAfter) return none();
+        toOwner(owner, millis(ask.within_ms), none);
+        if (owner.storesCut || lost()) return;
+        // One in sixteen arrives as late as its time-out allows.
+        const Nanos way = chance() % 16 ? delay() : millis(ask.within_ms - 1);
+        at(now + way, [this, &owner, life = owner.life, ask] {
+            if (hiddenFromControl.count(ask.store)) return;
+            const auto row = say(ask.store, ask.text);
+            if (owner.life != life || dark.count(ask.store) || owner.storesCut || lost()) return;
+            toOwner(owner, delay(),
+                    [&owner, no = ask.ask, row] { owner.succession->answered(no, row, owner.clock()); });
+        });
+    }
+    void leave(Owner& owner, const ToPlatform& post) {
+        const auto ended = [this, &owner, no = post.ask](Nanos in, PromotionAnswer answer) {
+            toOwner(owner, in,
+                    [&owner, no, answer] { owner.succession->promoted(no, answer, owner.clock()); });
+        };
+        if (owner.clock() >= post.notAfter) return ended(0, PromotionAnswer::notSent);
+        ended(millis(post.within_ms), PromotionAnswer::silent);
+        if (owner.platformCut || lost()) return;
+        const Nanos way = chance() % 4 ? delay() : millis(1) + Nanos(chance() % 1000) * 1'190'000;
+        at(now + way, [this, &owner, life = owner.life, post, ended] {
+            const PromotionAnswer answer = arrived({now, owner.name, life, post.fence, post.store});
+            if (owner.life == life && !owner.platformCut && !lost()) ended(delay(), answer);
+        });
+    }
+    PromotionAnswer arrived(const Post& post) {
+        for (const Post& seen : posts) {
+            const bool same =
+                seen.holder == post.holder && seen.life == post.life && seen.store == post.store;
+            if (seen.fence == post.fence && !same) fault("two calls under fence", post, seen);
+            if (!options.fenceChecked && post.fence < seen.fence) fault("a lower fence", post, seen);
+            if (seen.holder != post.holder && post.at - seen.at < options.platformLease)
+                fault("turns inside the lease", post, seen);
+        }
+        const std::uint64_t highest = highestFence;
+        if (options.fenceChecked && post.fence < highest) return PromotionAnswer::conflict;
+        posts.push_back(post);
+        highestFence = std::max(highest, post.fence);
+        if (dark.count(post.store)) return PromotionAnswer::conflict;
+        const Nanos takes = millis(100) + Nanos(chance() % 700) * 1'000'000;
+        at(now + takes, [this, store = post.store] {
+            if (databases.lead() == store || !databases.promote(store)) return;
+            for (const std::string& each : databases.names()) beat(each, standings[each]);
+        });
+        return PromotionAnswer::accepted;
+    }
+    void fault(const std::string& what, const Post& post, const Post& seen) {
+        faults.push_back(what + " " + std::to_string(post.fence) + " by " + post.holder + " after " +
+                         std::to_string(seen.fence) + " by " + seen.holder);
+    }
+    void readUnderLease(Front& front) {
+        if (now - front.askedAt >= millis(200) && !front.frozen) {
+            front.askedAt = now;
+            at(now + delay(), [this, &front, asked = now] {
+                if (!lead) return;
+                const std::string store = lead->steady ? lead->store : "";
+                at(now + delay(), [this, &front, asked, store] {
+                    front.leaseUntil = std::max(front.leaseUntil, asked + frontLease);
+                    front.store = store;
+                });
+            });
+        }
+        if (front.frozen || now >= front.leaseUntil || front.store.empty()) return;
+        if (front.store != databases.lead())
+            faults.push_back("a front reads from " + front.store + " while " + databases.lead() + " leads");
+    }
+
+    std::multimap<Nanos, std::function<void()>> events;
+    board::Board truth;
+    std::map<std::string, std::string> standings;
+    std::uint64_t version = 1, highestFence = 0;
+    int writes = 0;
+};
+
+}  // namespace granitereel::standins
--- a/standins/succession_rig.hpp
+++ b/standins/succession_rig.hpp
@@ -21,6 +21,7 @@
     std::map<std::uint64_t, Succession*> asks;
     std::uint64_t next = 1, version = 1, highestFence = 0;
     int late = 0;
+    Nanos clock = 0;
     std::vector<std::string> refused;
 
     SuccessionRig() {
@@ -45,6 +46,11 @@
         known.put("lead/svc", {{to.seq, 0}, written(to)});
         done(to);
     }
+    void confirm(const std::string&, const Lead& expected,
+                 std::function<void(Confirmation, Nanos)> done) override {
+        const bool stands = lead && written(*lead) == written(expected);
+        done(stands ? Confirmation::stands : Confirmation::replaced, clock);
+    }
     const board::Board& board() const override { return known; }
     int syncReplicas(const std::string&) const override { return 1; }
 
@@ -67,15 +73,15 @@
                     if (answers) owner.answered(ask->ask, row, now);
                 } else if (auto* post = std::get_if<ToPlatform>(&each)) {
                     ++served;
-                    int status = 409;
+                    auto answer = PromotionAnswer::conflict;
                     if (post->fence >= highestFence) {
                         highestFence = post->fence;
-                        status = databases.promote(post->store) ? 200 : 409;
+                        if (databases.promote(post->store)) answer = PromotionAnswer::accepted;
                         for (const std::string& store : databases.names()) beat(store);
                     } else {
                         ++late;
                     }
-                    if (answers) owner.promoted(post->ask, status, now);
+                    if (answers) owner.promoted(post->ask, answer, now);
                 }
             }
         }
@@ -93,6 +99,7 @@
 
 inline void settleDown(SuccessionRig& rule, Succession& owner, Nanos& now, Nanos time) {
     for (const Nanos until = now + time; now < until; now += millis(50)) {
+        rule.clock = now;
         owner.tick(now);
         rule.serve(owner, now);
     }
