Keep a leaving replica's log in reach until the others have what it had

Need: a replica that leaves counts for sync_replicas until it is gone and takes its log along; it was dropped from the lead's replicas as soon as it was known to be gone, so that a promotion behind it could miss an acknowledged commit. Change: it stays on record until the primary's position, asked for after its end, is on as many replicas as are synchronous; until then a promotion needs it or the store at its address, which the register keeps. RESUME reaches every replica, also one that was not on record when it was paused, ever more seldom where it doesn't answer. Tests: a leaving replica and a crash in every order; late answers of the platform; a second life that writes the value of the first; confirmations; one-way cuts and leaving replicas among the random faults.

--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -361,7 +361,8 @@
         {name, [](const Json& was) { return was; },
          [this, name, wanted = written(expected), done = std::move(done)](std::optional<Json> is) {
              if (is) learn(name, *is);
-             if (is && *is != wanted) return done(Confirmation::replaced, now_);
+             const auto lead = is ? readLead(*is) : std::nullopt;
+             if (is && (!lead || written(*lead) != wanted)) return done(Confirmation::replaced, now_);
              const bool leased = now_ < leaseUntil_;
              done(is && leased ? Confirmation::stands : Confirmation::unknown, now_);
          }},
--- a/src/control/succession.cpp
+++ b/src/control/succession.cpp
@@ -34,6 +34,12 @@
 constexpr Nanos verifiesWithin = millis(1000);
 // A planned target that doesn't get what the others have by then is given up, so that those receive again.
 constexpr Nanos catchesUpWithin = millis(3000);
+// A store that has left ends within this: it waits no longer for its call's answer.
+constexpr Nanos endsWithin = millis(1000);
+// How often it is looked whether those that stay have what one that left had.
+constexpr Nanos releaseAgain = millis(500);
+// A replica that doesn't answer its RESUME has most likely crashed, and is asked ever less often.
+constexpr Nanos resumeSeldom = millis(4000);
 // The platform called the promotion a conflict: the registers and the stores' beats show why by then.
 constexpr Nanos quietAfterConflict = millis(300);
 constexpr Nanos quietAfterStandDown = millis(1000);
@@ -53,9 +59,9 @@
 }
 
 Json written(const Lead& lead) {
-    return {{"store", lead.store},      {"term", lead.term},     {"seq", lead.seq},
-            {"fence", lead.fence},      {"holder", lead.holder}, {"steady", lead.steady},
-            {"replicas", lead.replicas}};
+    return {{"store", lead.store},       {"term", lead.term},          {"seq", lead.seq},
+            {"fence", lead.fence},       {"holder", lead.holder},      {"steady", lead.steady},
+            {"replicas", lead.replicas}, {"addresses", lead.addresses}};
 }
 
 std::optional<Lead> readLead(const Json& body) {
@@ -68,6 +74,8 @@
     lead.holder = body.at("holder");
     lead.steady = body.at("steady");
     lead.replicas = body.at("replicas").get<std::set<std::string>>();
+    if (body.contains("addresses"))  // none in what was written before they were kept
+        lead.addresses = body["addresses"].get<std::map<std::string, std::string>>();
     return lead;
 }
 
@@ -92,7 +100,8 @@
       service_(std::move(service)),
       lease_(lease),
       platform_(platform),
-      means_(means) {}
+      means_(means),
+      resumeAfter_(askAgain) {}
 
 const char* Succession::phase() const {
     static const char* const names[] = {"idle",    "founding",  "checking", "guarding",
@@ -180,7 +189,6 @@
 void Succession::abandon(const std::string& why, Nanos now) {
     if (phase_ != Phase::idle) log(why);
     beginAttempt();
-    if (!toResume_.empty()) resumedFence_.reset();
     toResume_.clear();
     to(Phase::idle, now);
 }
@@ -256,42 +264,103 @@
     }
     const Json* body = record(lead->store);
     if (body && body->value("standing", "") == "winding_down" && now >= quietUntil_) return guard(now, true);
-    // An owner that died behind its last write may have left replicas paused.
-    if (lead->fence != resumedFence_) {
-        resumedFence_ = lead->fence;
-        toResume_.insert(lead->replicas.begin(), lead->replicas.end());
-        toResume_.erase(lead->store);
-        resumeUntilAskedFrom_ = now;
-    }
-    if (!toResume_.empty()) {
-        if (now - resumedAt_ >= askAgain) {
-            resumedAt_ = now;
-            confirm(*lead, now);
-        }
-        return;
-    }
+    resumeReplicas(*lead, now);
     updateReplicas(*lead, now);
 }
 
-// Who belongs to the service is kept with the lead, as after a loss only that tells who must be heard.
+// An owner that died behind its last write may have left replicas paused, also some that were not on record
+// then. Each is resumed once by each life that owns the lead of a fence.
+void Succession::resumeReplicas(const Lead& lead, Nanos now) {
+    if (lead.fence == 0) return;  // nobody was ever paused
+    if (lead.fence != resumedFence_) resumed_.clear();
+    resumedFence_ = lead.fence;
+    for (const std::string& store : lead.replicas)
+        if (record(store) && !resumed_.count(store)) toResume_.insert(store);
+    if (toResume_.empty() || now - resumedAt_ < resumeAfter_) return;
+    resumedAt_ = now;
+    resumeAfter_ = std::min(2 * resumeAfter_, resumeSeldom);
+    confirm(lead, now);
+}
+
+std::map<std::string, std::string> Succession::addressesOf(const std::set<std::string>& stores,
+                                                           const Lead& before) const {
+    std::map<std::string, std::string> all;
+    for (const std::string& store : stores) {
+        const auto told = before.addresses.find(store);
+        if (const Json* body = record(store))
+            all[store] = body->value("address", "");
+        else if (told != before.addresses.end())
+            all[store] = told->second;
+    }
+    return all;
+}
+
+bool Succession::gone(const std::string& store) const {
+    const board::Record* found = means_.board().find("store/" + store);
+    return found && found->body.is_null();
+}
+
+// Who belongs to the service is kept with the lead, as after a loss only that tells who must be heard. One
+// that the registry lacks may only not have called yet; one that left may have the only copy of a commit:
+// both stay, until release().
 void Succession::updateReplicas(const Lead& lead, Nanos now) {
-    std::set<std::string> replicas;
+    std::set<std::string> replicas = lead.replicas;
     for (const std::string& store : listed())
         if (store != lead.store) replicas.insert(store);
-    if (replicas == lead.replicas || now < quietUntil_) return;
-    // One that the registry lacks may only not have called yet: it stays until it is known to be gone.
-    for (const std::string& store : lead.replicas) {
-        const board::Record* r = means_.board().find("store/" + store);
-        if (!r || !r->body.is_null()) replicas.insert(store);
-    }
-    if (replicas == lead.replicas) return;
+    if (replicas != lead.replicas || addressesOf(replicas, lead) != lead.addresses)
+        return writeReplicas(lead, replicas);
+    if (std::any_of(replicas.begin(), replicas.end(), [&](const auto& each) { return gone(each); }))
+        askForRelease(lead, now);
+    else
+        goneSince_ = 0;
+}
+
+void Succession::writeReplicas(const Lead& lead, std::set<std::string> replicas) {
     Lead next = lead;
-    next.replicas = replicas;
+    next.addresses = addressesOf(replicas, lead);
+    next.replicas = std::move(replicas);
     ++next.seq;
     changing_ = true;
     means_.change(service_, lead.seq, next, [this](auto) { changing_ = false; });
 }
 
+// A replica that left counts for the synchronous ones until it has ended, and takes its log along. When it
+// has ended, the primary is asked how far it is, then the replicas that stay.
+void Succession::askForRelease(const Lead& lead, Nanos now) {
+    if (goneSince_ == 0) goneSince_ = now;
+    if (now - goneSince_ < endsWithin || now - askedAt_ < releaseAgain) return;
+    askedAt_ = now;
+    rows_.clear();
+    ask(lead.store, Statement::status, "STATUS", now);
+}
+
+// What the primary has is on as many of those that stay as are synchronous: those that left are released.
+void Succession::rowForRelease(const Ask& asked, const StoreRow& row, Nanos now) {
+    const auto lead = known();
+    if (!lead || !lead->steady || changing_ || asked.what != Statement::status) return;
+    std::set<std::string> staying;
+    for (const std::string& store : lead->replicas)
+        if (!gone(store)) staying.insert(store);
+    if (asked.store == lead->store) {
+        if (!row.primary || row.term != lead->term) return;
+        rows_[lead->store] = row;
+        for (const std::string& store : staying) ask(store, Statement::status, "STATUS", now);
+        return;
+    }
+    const auto primary = rows_.find(lead->store);
+    if (primary == rows_.end() || !staying.count(asked.store)) return;
+    rows_[asked.store] = row;
+    const auto sync = static_cast<std::size_t>(std::max(0, means_.syncReplicas(service_)));
+    const auto have =
+        static_cast<std::size_t>(std::count_if(rows_.begin(), rows_.end(), [&](const auto& each) {
+            return each.first != lead->store && !(each.second.received < primary->second.received);
+        }));
+    if (have < std::max<std::size_t>(1, std::min(sync, staying.size()))) return;
+    rows_.clear();
+    goneSince_ = 0;
+    writeReplicas(*lead, staying);
+}
+
 // Founding: no lead is on record. From the question to the store that says it leads until its answer.
 void Succession::found(Nanos now) {
     for (const std::string& store : listed()) {
@@ -315,6 +384,7 @@
     lead.steady = true;
     for (const std::string& store : listed())
         if (store != asked.store) lead.replicas.insert(store);
+    lead.addresses = addressesOf(lead.replicas, lead);
     changing_ = true;
     means_.change(service_, 0, lead, [this](std::optional<Lead> stands) {
         changing_ = false;
@@ -344,7 +414,7 @@
     rows_.clear();
     paused_.clear();
     toResume_.clear();
-    resumedFence_.reset();
+    resumed_.clear();
     target_.clear();
     to(Phase::guarding, now);
     Lead next = *lead;
@@ -459,15 +529,26 @@
     askAll(now);
 }
 
+// Whether a replica answered, or, where it has left, the store that its log passed to: at its address.
+bool Succession::heard(const std::string& store) const {
+    if (rows_.count(store)) return true;
+    const auto address = lead_.addresses.find(store);
+    if (!gone(store) || address == lead_.addresses.end()) return false;
+    return std::any_of(rows_.begin(), rows_.end(), [&](const auto& each) {
+        const Json* body = record(each.first);
+        return body && body->value("address", "") == address->second;
+    });
+}
+
 // An acknowledged commit is on as many replicas as are synchronous: of any others one may be missing.
 bool Succession::enoughHeard() const {
     const std::vector<std::string> needed = others();
-    const auto heard = static_cast<std::size_t>(std::count_if(
-        needed.begin(), needed.end(), [&](const std::string& store) { return rows_.count(store) > 0; }));
+    const auto answering = static_cast<std::size_t>(
+        std::count_if(needed.begin(), needed.end(), [&](const std::string& store) { return heard(store); }));
     const auto sync = static_cast<std::size_t>(std::max(0, means_.syncReplicas(service_)));
     const std::size_t mayMiss =
         sync == 0 ? needed.size() - std::min<std::size_t>(1, needed.size()) : sync - 1;
-    return !needed.empty() && heard + mayMiss >= needed.size();
+    return !rows_.empty() && answering + mayMiss >= needed.size();
 }
 
 std::string Succession::furthest() const {
@@ -561,8 +642,11 @@
     asks_.erase(at);
     switch (phase_) {
         case Phase::idle:
-            if (asked.what == Statement::resume && row && asked.at >= resumeUntilAskedFrom_)
+            if (asked.what == Statement::resume && row && asked.at >= resumeUntilAskedFrom_) {
                 toResume_.erase(asked.store);
+                resumed_.insert(asked.store);
+            }
+            if (row) rowForRelease(asked, *row, now);
             return;
         case Phase::founding:
             return founded(asked, row, now);
@@ -584,10 +668,7 @@
     Lead next = lead_;
     next.replicas.insert(lead_.store);
     next.replicas.erase(store);
-    std::erase_if(next.replicas, [&](const std::string& each) {
-        const board::Record* r = means_.board().find("store/" + each);
-        return r && r->body.is_null();
-    });
+    next.addresses = addressesOf(next.replicas, lead_);
     next.store = store;
     next.term = term;
     quietUntil_ = now + believed;
@@ -616,6 +697,8 @@
         toResume_.insert(lead_.store);
         toResume_.erase(stands->store);
         resumedFence_ = stands->fence;
+        resumed_.clear();
+        resumeAfter_ = askAgain;
         // A PAUSE of an earlier owner, or one of ours, may still arrive until then.
         resumeUntilAskedFrom_ = std::max(guardedAt_ + lease_, pausesOverAt_);
         resumedAt_ = begun;
--- a/src/control/succession.hpp
+++ b/src/control/succession.hpp
@@ -31,9 +31,10 @@
 struct Lead {
     std::string store;
     std::uint64_t term = 0, seq = 0, fence = 0;
-    std::string holder;   // the member that owns the duty
-    bool steady = false;  // no promotion may be under way
-    std::set<std::string> replicas;
+    std::string holder;                            // the member that owns the duty
+    bool steady = false;                           // no promotion may be under way
+    std::set<std::string> replicas;                // also those that left and were not released yet
+    std::map<std::string, std::string> addresses;  // of the replicas: a log passes on at its address
 };
 Json written(const Lead& lead);
 std::optional<Lead> readLead(const Json& body);
@@ -131,6 +132,13 @@
     void tickRising(Nanos now);
     void tickSettling(Nanos now);
     void updateReplicas(const Lead& lead, Nanos now);
+    void writeReplicas(const Lead& lead, std::set<std::string> replicas);
+    std::map<std::string, std::string> addressesOf(const std::set<std::string>& stores,
+                                                   const Lead& before) const;
+    bool gone(const std::string& store) const;
+    void askForRelease(const Lead& lead, Nanos now);
+    void rowForRelease(const Ask& asked, const StoreRow& row, Nanos now);
+    bool heard(const std::string& store) const;
     void found(Nanos now);
     void founded(const Ask& asked, const std::optional<StoreRow>& row, Nanos now);
     void checked(const Ask& asked, const std::optional<StoreRow>& row, Nanos now);
@@ -150,6 +158,7 @@
     void standDown(Nanos now);
     void becomeSteady(Lead next, Nanos now);
     void resume(Nanos now);
+    void resumeReplicas(const Lead& lead, Nanos now);
     void log(const std::string& line);
 
     const std::string self_, service_;
@@ -180,11 +189,10 @@
     std::uint64_t posting_ = 0, postAttempt_ = 0;  // the call to the platform under way; 0: none
     Nanos postedAt_ = 0;
 
-    std::set<std::string> toResume_;
-    Nanos resumedAt_ = 0, resumeUntilAskedFrom_ = 0;
-    // A steady lead of this fence had its replicas resumed by this life. Before the first promotion nobody
-    // paused any.
-    std::optional<std::uint64_t> resumedFence_ = 0;
+    Nanos goneSince_ = 0;  // since when a replica on record is known to have left; 0: none has
+    std::set<std::string> toResume_, resumed_;  // resumed_: under resumedFence_, by this life
+    std::uint64_t resumedFence_ = 0;
+    Nanos resumedAt_ = 0, resumeAfter_, resumeUntilAskedFrom_ = 0;
 };
 
 }  // namespace granitereel::control
--- a/standins/databases.cpp
+++ b/standins/databases.cpp
@@ -31,6 +31,19 @@
     replicate();
 }
 
+void Databases::leaves(const std::string& store) {
+    left_[store] = stores_.at(store);
+    stores_.erase(store);
+    std::erase_if(connections_, [&](const auto& each) { return each.second.store == store; });
+}
+
+void Databases::logPassesTo(const std::string& left, const std::string& store) {
+    Store& made = stores_[store];
+    made.log = std::move(left_.at(left).log);
+    left_.erase(left);
+    replicate();
+}
+
 void Databases::replicate() {
     const std::vector<Entry>& source = stores_.at(lead_).log;
     for (auto& [name, store] : stores_) {
--- a/standins/databases.hpp
+++ b/standins/databases.hpp
@@ -33,6 +33,10 @@
     void deaf(const std::string& store, bool on) { stores_.at(store).deaf = on; }
     void dark(const std::string& store, bool on) { stores_.at(store).dark = on; }
     void slow(const std::string& store, bool on);  // received is not applied until it ends
+    // It ends and takes its log along, to pass it to a new store (another name, the same address) if one
+    // comes.
+    void leaves(const std::string& store);
+    void logPassesTo(const std::string& left, const std::string& store);
     void loseNextAnswer(const std::string& store, bool on = true) { stores_.at(store).loses = on; }
     void refuseNext(const std::string& store, const std::string& error) { stores_.at(store).refuses = error; }
 
@@ -76,7 +80,7 @@
     std::string service_, lead_;
     int sync_;
     std::uint64_t term_ = 1, next_ = 1;
-    std::map<std::string, Store> stores_;
+    std::map<std::string, Store> stores_, left_;
     std::map<int, Connection> connections_;
     int lastConnection_ = 0, stamp_ = 0;
     std::map<std::string, std::set<std::string>> ran_;
--- a/standins/promotion_rig.hpp
+++ b/standins/promotion_rig.hpp
@@ -48,7 +48,8 @@
         board::Board known;
         Outputs out;
         std::uint64_t lastAsk = 0;
-        bool frozen = false, cutOff = false, storesCut = false, platformCut = false, mine = false;
+        bool frozen = false, cutOff = false, answersCut = false, storesCut = false, platformCut = false,
+             mine = false;
         int steps = 0, freezeAtStep = -1;
         std::vector<std::function<void()>> waiting;  // what is due while it is frozen
 
@@ -66,6 +67,7 @@
                 [this, ifSeq, to, once] {
                     const bool applies = (rig.lead ? rig.lead->seq : 0) == ifSeq;
                     if (applies) rig.write(to);
+                    if (answersCut) return;
                     rig.toOwner(*this, rig.delay(), [this, applies, to, once] {
                         if (applies) known.put("lead/svc", {{to.seq, 0}, written(to)});
                         if (const auto told = std::exchange(*once, nullptr))
@@ -82,6 +84,7 @@
             rig.askRegister(
                 *this,
                 [this, expected, once] {
+                    if (answersCut) return;
                     const bool stands = rig.lead && written(*rig.lead) == written(expected);
                     rig.toOwner(*this, rig.delay(), [this, stands, once] {
                         if (const auto told = std::exchange(*once, nullptr))
@@ -159,7 +162,7 @@
         if (dark.count(store)) return;
         publish("store/" + store, {{++version, 0},
                                    {{"service", "svc"},
-                                    {"address", store},
+                                    {"address", addresses.count(store) ? addresses[store] : store},
                                     {"standing", standing},
                                     {"role", databases.roleOf(store)}}});
     }
@@ -167,6 +170,23 @@
         on ? (void)dark.insert(store) : (void)dark.erase(store);
         databases.dark(store, on);
     }
+    // A replica ends in order, and takes its log along.
+    void leaves(const std::string& store) {
+        left = store;
+        leftAt = now;
+        databases.leaves(store);
+        standings.erase(store);
+        dark.erase(store);
+        hiddenFromControl.erase(store);
+        publish("store/" + store, {{++version, 0}, nullptr});
+    }
+    // A new store at its address has its log.
+    void logPassesTo(const std::string& from, const std::string& store) {
+        databases.logPassesTo(from, store);
+        addresses[store] = addresses.count(from) ? addresses[from] : from;
+        left.clear();
+        beat(store);
+    }
     // A client's write at the store that leads; acknowledged if a replica has it.
     void clientWrites() {
         const std::string id = "w" + std::to_string(++writes);
@@ -214,6 +234,10 @@
     std::optional<Lead> lead;
     std::vector<Post> posts;  // as the platform saw them
     std::set<std::string> dark, hiddenFromControl;
+    std::string left;  // whose log is away; empty: none
+    Nanos leftAt = 0;
+    // A start ends a pause. It is assumed to take longer than a promotion's call and the promotion itself.
+    static constexpr Nanos storeStartsIn = millis(3000);
     std::vector<std::string> acknowledged, faults;
     static constexpr Nanos frontLease = millis(700);
 
@@ -258,10 +282,11 @@
     void publish(const std::string& name, board::Record record) {
         truth.put(name, record);
         for (auto& owner : owners)
-            if (!owner->cutOff)
+            if (!owner->cutOff && !owner->answersCut)
                 toOwner(*owner, delay(), [o = owner.get(), name, record] { o->known.put(name, record); });
     }
     std::optional<StoreRow> say(const std::string& store, const std::string& text) {
+        if (!standings.count(store)) return std::nullopt;  // it has left
         const int line = databases.connect(store);
         databases.said(line, "GREET svc control " + store);
         const auto told = databases.said(line, "QUERY - " + text);
@@ -313,10 +338,12 @@
         if (options.fenceChecked && post.fence < highest) return PromotionAnswer::conflict;
         posts.push_back(post);
         highestFence = std::max(highest, post.fence);
-        if (dark.count(post.store)) return PromotionAnswer::conflict;
+        if (dark.count(post.store) || !standings.count(post.store)) return PromotionAnswer::conflict;
         const Nanos takes = millis(100) + Nanos(chance() % 700) * 1'000'000;
         at(now + takes, [this, store = post.store] {
-            if (databases.lead() == store || !databases.promote(store)) return;
+            if (!standings.count(store) || databases.lead() == store || !databases.promote(store)) return;
+            for (const std::string& id : acknowledged)
+                if (databases.effects(id) != 1) faults.push_back(store + " is promoted without " + id);
             for (const std::string& each : databases.names()) beat(each, standings[each]);
         });
         return PromotionAnswer::accepted;
@@ -344,7 +371,7 @@
 
     std::multimap<Nanos, std::function<void()>> events;
     board::Board truth;
-    std::map<std::string, std::string> standings;
+    std::map<std::string, std::string> standings, addresses;
     std::uint64_t version = 1, highestFence = 0;
     int writes = 0;
 };
--- a/standins/succession_rig.hpp
+++ b/standins/succession_rig.hpp
@@ -21,6 +21,7 @@
     std::map<std::uint64_t, Succession*> asks;
     std::uint64_t next = 1, version = 1, highestFence = 0;
     int late = 0;
+    std::vector<ToPlatform> heldBack;  // calls that serve() was told not to carry out
     Nanos clock = 0;
     std::vector<std::string> refused;
 
@@ -55,7 +56,7 @@
     int syncReplicas(const std::string&) const override { return 1; }
 
     // Carries out what is asked, and answers it; `stopAfter`: that many asks, then whoever asked is dead.
-    int serve(Succession& owner, Nanos now, int stopAfter = 1 << 30, bool answers = true) {
+    int serve(Succession& owner, Nanos now, int stopAfter = 1 << 30, bool answers = true, bool posts = true) {
         int served = 0;
         while (!out.empty() && served < stopAfter) {
             Outputs batch = std::exchange(out, {});
@@ -71,7 +72,9 @@
                         row = readRow(told->substr(4, told->find("\r\n") - 4));
                     databases.closed(line);
                     if (answers) owner.answered(ask->ask, row, now);
-                } else if (auto* post = std::get_if<ToPlatform>(&each)) {
+                } else if (auto* post = std::get_if<ToPlatform>(&each); post && !posts) {
+                    heldBack.push_back(*post);
+                } else if (post) {
                     ++served;
                     auto answer = PromotionAnswer::conflict;
                     if (post->fence >= highestFence) {
--- a/tests/system/promotion.cpp
+++ b/tests/system/promotion.cpp
@@ -3,11 +3,16 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <fstream>
 
+#include "settings/settings.hpp"
+#include "standins/control_world.hpp"
 #include "standins/promotion_rig.hpp"
+#include "standins/succession_rig.hpp"
 
 namespace {
 using namespace granitereel;
+using namespace granitereel::control;
 using standins::PromotionRig;
 using Owner = PromotionRig::Owner;
 
@@ -82,6 +87,43 @@
             }
 }
 
+// The replica that has the last commits leaves, then the primary crashes: at once, or after a while in which
+// the other replica receives (or doesn't) and more is committed (or isn't). Its log comes back at its address
+// under another name.
+TEST(Promotion, ALeavingReplicaTakesNoAcknowledgedCommitAlong) {
+    for (const int crashAfter_ms : {0, 60, 400, 1100, 2500, 6000})
+        for (const bool otherReceives : {false, true})
+            for (const bool moreCommits : {false, true})
+                for (const bool crashFirst : {false, true}) {
+                    PromotionRig rig({true, 0, static_cast<unsigned>(crashAfter_ms) + 7, 2, 0});
+                    rig.own(*rig.owners[0], true);
+                    runWithWrites(rig, millis(1000));
+                    rig.databases.deaf("s2", true);  // so that s1 alone has what is acknowledged now
+                    for (int i = 0; i < 3; ++i) rig.clientWrites();
+                    if (crashFirst) rig.crash("s0", true);
+                    rig.leaves("s1");
+                    if (otherReceives) {
+                        rig.databases.deaf("s2", false);
+                        rig.clientWrites();
+                    }
+                    rig.run(millis(crashAfter_ms));
+                    if (moreCommits) rig.clientWrites();
+                    rig.crash("s0", true);
+                    for (int i = 0; i < 20; ++i) rig.suspect(*rig.owners[0], "s0"), rig.run(millis(250));
+                    const std::string where = std::to_string(crashAfter_ms) +
+                                              (otherReceives ? " other" : "") + (moreCommits ? " more" : "") +
+                                              (crashFirst ? " first" : "");
+                    // With the last commits released to s2 nobody waits for the log that is away.
+                    const bool released = otherReceives && !crashFirst && crashAfter_ms >= 2500;
+                    EXPECT_TRUE(!released || rig.databases.lead() == "s2") << where;
+                    rig.databases.deaf("s2", false);
+                    rig.logPassesTo("s1", "s1-again");
+                    rig.run(millis(6000));
+                    EXPECT_NE(rig.databases.lead(), "s0") << where;
+                    expectWhole(rig, where);
+                }
+}
+
 // A long run in which everything goes wrong at random; what must hold at each moment is checked by the rig.
 void runAtRandom(PromotionRig& rig) {
     std::mt19937& chance = rig.chance;
@@ -98,18 +140,28 @@
                 rig.freeze(owner, millis(oneIn(3) ? 20'000 : 100 + chance() % 3000));
             if (oneIn(200)) owner.freezeAtStep = owner.steps + 1 + static_cast<int>(chance() % 40);
             if (oneIn(owner.cutOff ? 20 : 100)) owner.cutOff = !owner.cutOff;
+            if (oneIn(owner.answersCut ? 20 : 100)) owner.answersCut = !owner.answersCut;
             if (oneIn(owner.storesCut ? 20 : 100)) owner.storesCut = !owner.storesCut;
             if (oneIn(owner.platformCut ? 20 : 100)) owner.platformCut = !owner.platformCut;
             // Mostly one owns the duty; at times two think so, or none.
             const bool first = std::none_of(rig.owners.begin(), rig.owners.end(), [&](auto& other) {
-                return other->name < owner.name && other->succession && !other->frozen && !other->cutOff;
+                return other->name < owner.name && other->succession && !other->frozen && !other->cutOff &&
+                       !other->answersCut;
             });
             if (owner.succession) rig.own(owner, oneIn(25) ? !first : first);
             const bool well =
                 rig.lead && !rig.dark.count(rig.lead->store) && !rig.hiddenFromControl.count(rig.lead->store);
             if (rig.lead && owner.succession && (!well || oneIn(50))) rig.suspect(owner, rig.lead->store);
         }
-        const std::string store = rig.databases.names()[chance() % 3];
+        const auto any = [&] {
+            const auto stores = rig.databases.names();
+            return stores[chance() % stores.size()];
+        };
+        if (const auto leaving = any(); rig.left.empty() && oneIn(60) && leaving != rig.databases.lead())
+            rig.leaves(leaving);
+        if (!rig.left.empty() && rig.now - rig.leftAt > PromotionRig::storeStartsIn && oneIn(15))
+            rig.logPassesTo(rig.left, "n" + std::to_string(turn));
+        const std::string store = any();
         if (rig.dark.empty() && oneIn(40)) rig.crash(store, true);
         if (!rig.dark.empty() && oneIn(60)) rig.crash(*rig.dark.begin(), false);
         if (oneIn(40)) rig.hiddenFromControl.insert(store);
@@ -119,11 +171,12 @@
         runWithWrites(rig, millis(200));
     }
     // All is well again.
+    if (!rig.left.empty()) rig.logPassesTo(rig.left, "last");
     rig.options.lostInHundred = 0;
     rig.hiddenFromControl.clear();
     if (!rig.dark.empty()) rig.crash(std::string(*rig.dark.begin()), false);
     for (auto& owner : rig.owners) {
-        owner->cutOff = owner->storesCut = owner->platformCut = false;
+        owner->cutOff = owner->answersCut = owner->storesCut = owner->platformCut = false;
         owner->freezeAtStep = -1;
         if (!owner->succession) rig.start(*owner);
         rig.synchronise(*owner);
@@ -152,4 +205,125 @@
     }
     EXPECT_GT(promotions, seeds);
 }
+
+// An answer that comes late, when the owner is at its next attempt already, is not taken for that one's.
+TEST(Promotion, ALateAnswerOfThePlatformIsNotTakenForALaterCalls) {
+    for (const auto late : {PromotionAnswer::accepted, PromotionAnswer::conflict, PromotionAnswer::silent}) {
+        standins::SuccessionRig rig;
+        Succession owner("m1", "svc", millis(750), rig);
+        Nanos now = millis(10'000);
+        owner.own(true, now);
+        standins::settleDown(rig, owner, now, millis(500));
+        rig.databases.dark("s0", true);
+        owner.suspected("s0", now);
+        const auto untilPost = [&]() -> std::optional<ToPlatform> {
+            for (int i = 0; i < 100; ++i, now += millis(50)) {
+                rig.clock = now;
+                owner.tick(now);
+                rig.serve(owner, now, 1 << 30, true, false);
+                if (!rig.heldBack.empty()) return std::exchange(rig.heldBack, {}).front();
+            }
+            return std::nullopt;
+        };
+        const auto first = untilPost();
+        ASSERT_TRUE(first);
+        owner.own(false, now);
+        owner.own(true, now);
+        // The next attempt is ready, and waits for the first call's end.
+        EXPECT_FALSE(untilPost());
+        EXPECT_STREQ(owner.phase(), "promoting");
+        owner.promoted(first->ask, late, now);
+        EXPECT_STREQ(owner.phase(), "promoting");
+        const auto second = untilPost();
+        ASSERT_TRUE(second);
+        EXPECT_GT(second->fence, first->fence);
+        owner.promoted(first->ask, late, now);
+        EXPECT_STREQ(owner.phase(), "promoting");
+        owner.promoted(second->ask, PromotionAnswer::accepted, now);
+        EXPECT_STREQ(owner.phase(), "rising");
+    }
+}
+
+// A member is killed after each time while it writes a fence; its next life writes the very same value. If
+// the first life's may have stood, the second must not act under it as if it were its own.
+TEST(Promotion, ASecondLifeDoesNotTakeTheFirstLifesFenceForItsOwn) {
+    int stood = 0;
+    for (int killedAfter_ms = 0; killedAfter_ms < 25; ++killedAfter_ms) {
+        standins::ControlWorld world(3, 0, 5);
+        world.run(millis(2000));
+        const std::string self = world.address(0);
+        const auto means = [&]() -> Succession::Means& { return *world.members[self].control; };
+        Lead lead;
+        lead.store = "s0";
+        lead.seq = 1;
+        std::optional<Lead> founded, second;
+        means().change("svc", 0, lead, [&](std::optional<Lead> is) { founded = is; });
+        world.carry(self);
+        world.run(millis(200));
+        ASSERT_TRUE(founded);
+        lead.seq = 2;
+        lead.fence = 1;
+        lead.holder = self;
+        means().change("svc", 1, lead, [](std::optional<Lead>) {});
+        world.carry(self);
+        world.run(millis(killedAfter_ms));
+        world.kill(self);
+        int holding = 0;
+        for (const auto& [name, member] : world.members)
+            holding += member.disk.count("slot/lead/svc") &&
+                       member.disk.at("slot/lead/svc").at("v").is_object() &&
+                       member.disk.at("slot/lead/svc").at("v").at("seq") == 2;
+        world.start(self);
+        world.run(millis(60));
+        means().change("svc", 1, lead, [&](std::optional<Lead> is) { second = is; });
+        world.carry(self);
+        world.run(millis(1500));
+        if (holding < 2) continue;
+        ++stood;
+        EXPECT_FALSE(second) << killedAfter_ms;
+    }
+    EXPECT_GT(stood, 0);
+}
+
+// What a confirmation says: only of the value that stands, and only under the member's lease.
+TEST(Promotion, AConfirmationNeedsAMajorityAndTheValueThatStands) {
+    standins::ControlWorld world(3, 0, 6);
+    world.run(millis(2000));
+    const std::string self = world.address(0);
+    auto& means = static_cast<Succession::Means&>(*world.members[self].control);
+    const auto confirms = [&](const Lead& lead) {
+        std::optional<Confirmation> is;
+        means.confirm("svc", lead, [&](Confirmation told, Nanos) { is = told; });
+        world.carry(self);
+        world.run(millis(1500));
+        return is;
+    };
+    Lead lead;
+    lead.store = "s0";
+    lead.seq = 1;
+    means.change("svc", 0, lead, [](auto) {});
+    world.carry(self);
+    world.run(millis(200));
+    EXPECT_EQ(confirms(lead), Confirmation::stands);
+    Lead other = lead;
+    other.fence = 1;
+    EXPECT_EQ(confirms(other), Confirmation::replaced);
+    for (int i = 1; i < 3; ++i) world.cut.insert({self, world.address(i)});
+    EXPECT_EQ(confirms(lead), Confirmation::unknown);
+}
+
+TEST(Promotion, ReadsThePlatformsGuaranteesFromTheSettings) {
+    const std::string path = ::testing::TempDir() + "promotion-settings.toml";
+    const auto read = [&](const std::string& guarantees) {
+        std::ofstream(path)
+            << "station = \"a\"\nip_addr = \"10.0.0.1\"\ndistrict = \"d\"\nspare_ports = [1, 2]\n"
+            << "seed_list = []\n[guarantees]\n"
+            << guarantees;
+        return settings::read(path);
+    };
+    EXPECT_FALSE(read("").fenceChecked);
+    EXPECT_EQ(read("").lease_ms, 0);
+    EXPECT_TRUE(read("fence_checked = true\n").fenceChecked);
+    EXPECT_EQ(read("lease_ms = 1500\n").lease_ms, 1500);
+}
 }  // namespace
