--- a/src/control/succession.cpp
+++ b/src/control/succession.cpp
@@ -24,13 +24,11 @@
 constexpr Nanos promotedWithin = millis(1000);
 // A promotion that has not shown by then is begun anew, under a higher fence.
 constexpr Nanos risesWithin = millis(2500);
-// The platform did not take the promotion for this long: begun anew, as what was heard has aged.
-constexpr Nanos promotesWithin = millis(3 * postWithin_ms);
 // A lead that asks for its term, and one under suspicion, are given up after this.
 constexpr Nanos asksWithin = millis(2000);
 // A change of the register ends sooner, with or without a majority.
 constexpr Nanos guardsWithin = millis(3000);
-// Replicas that were heard as paused are paused again after this, where others are still to be heard.
+// Replicas that were heard as paused are paused again after this, as one may have been started anew.
 constexpr Nanos verifiesWithin = millis(1000);
 // A planned target that doesn't get what the others have by then is given up, so that those receive again.
 constexpr Nanos catchesUpWithin = millis(3000);
@@ -436,6 +434,7 @@
         askedAt_ = 0;
         pauseTerm_ = lead_.term;
         verifyingSince_ = 0;
+        posted_ = false;
     };
     means_.change(service_, lead->seq, next, ended);
 }
@@ -588,14 +587,22 @@
 // only this target is asked for; another one needs a new attempt and so a new fence.
 void Succession::tickPromoting(Nanos now) {
     if (posting_ != 0) return;
-    if (now - since_ > promotesWithin) return guard(now, planned_);
-    if (now - postedAt_ >= askAgain) post(now);
+    if (now - verifyingSince_ <= verifiesWithin) {
+        if (now - postedAt_ >= askAgain) post(now);
+        return;
+    }
+    // What was heard has aged: a replica may have been started since.
+    if (posted_) return guard(now, planned_);
+    to(Phase::pausing, now);
+    verify(now);
 }
 
 // The call leaves only while the confirmation that it rests on is fresh, and never beside another of ours.
 void Succession::post(Nanos now) {
     if (posting_ != 0) return;
+    if (now - verifyingSince_ > verifiesWithin) return;
     if (!confirmed(now)) return confirm(lead_, now);
+    posted_ = true;
     posting_ = means_.nextAsk(*this);
     postAttempt_ = attempt_;
     log("promoting " + target_ + " with fence " + std::to_string(lead_.fence));
--- a/src/control/succession.hpp
+++ b/src/control/succession.hpp
@@ -188,6 +188,7 @@
 
     std::uint64_t posting_ = 0, postAttempt_ = 0;  // the call to the platform under way; 0: none
     Nanos postedAt_ = 0;
+    bool posted_ = false;  // in this attempt
 
     Nanos goneSince_ = 0;  // since when a replica on record is known to have left; 0: none has
     std::set<std::string> toResume_, resumed_;  // resumed_: under resumedFence_, by this life
--- a/standins/promotion_rig.hpp
+++ b/standins/promotion_rig.hpp
@@ -28,6 +28,7 @@
         Nanos platformLease = 0;
         unsigned seed = 1;
         int owners = 2;
+        std::optional<Nanos> postWay = {}, promoteTakes = {};  // none: at random
         int lostInHundred = 0;  // of calls to stores and to the platform, requests and answers alike
     };
     struct Post {
@@ -236,8 +237,12 @@
     std::set<std::string> dark, hiddenFromControl;
     std::string left;  // whose log is away; empty: none
     Nanos leftAt = 0;
-    // A start ends a pause. It is assumed to take longer than a promotion's call and the promotion itself.
-    static constexpr Nanos storeStartsIn = millis(3000);
+    int postsLeft = 0;
+    Nanos promotedBy = 0;  // by then every promotion asked for so far has been carried out
+    // A start ends a pause, so none is assumed between a pause and the promotion that rests on it.
+    bool mayStart() const {
+        return !left.empty() && now - leftAt > millis(3000) && lead && lead->steady && now > promotedBy;
+    }
     std::vector<std::string> acknowledged, faults;
     static constexpr Nanos frontLease = millis(700);
 
@@ -319,7 +324,10 @@
         if (owner.clock() >= post.notAfter) return ended(0, PromotionAnswer::notSent);
         ended(millis(post.within_ms), PromotionAnswer::silent);
         if (owner.platformCut || lost()) return;
-        const Nanos way = chance() % 4 ? delay() : millis(1) + Nanos(chance() % 1000) * 1'190'000;
+        const Nanos atRandom = chance() % 4 ? delay() : millis(1) + Nanos(chance() % 1000) * 1'190'000;
+        const Nanos way = options.postWay.value_or(atRandom);
+        promotedBy = now + way + millis(800);
+        ++postsLeft;
         at(now + way, [this, &owner, life = owner.life, post, ended] {
             const PromotionAnswer answer = arrived({now, owner.name, life, post.fence, post.store});
             if (owner.life == life && !owner.platformCut && !lost()) ended(delay(), answer);
@@ -339,7 +347,8 @@
         posts.push_back(post);
         highestFence = std::max(highest, post.fence);
         if (dark.count(post.store) || !standings.count(post.store)) return PromotionAnswer::conflict;
-        const Nanos takes = millis(100) + Nanos(chance() % 700) * 1'000'000;
+        const Nanos atRandom = millis(100) + Nanos(chance() % 700) * 1'000'000;
+        const Nanos takes = options.promoteTakes.value_or(atRandom);
         at(now + takes, [this, store = post.store] {
             if (!standings.count(store) || databases.lead() == store || !databases.promote(store)) return;
             for (const std::string& id : acknowledged)
