Start a store that is on record also while the lead is unsteady; two dozen seeds

Need: the random runs had so few promotions that their own check of it failed on a clean build (24 in 24 runs): the stand-in kept a store away that the promotion waited for. Change: the stand-in's rule for starts; two dozen seeds, as the first that fails without that guard is seed 18. Measured on a clean build: ten tests of promotion with 24 seeds pass, 1,000 seeds by hand pass; registers, succession, members, pooler, inputs and module pass. Processes: not run.

--- a/standins/promotion_rig.hpp
+++ b/standins/promotion_rig.hpp
@@ -239,9 +239,11 @@
     Nanos leftAt = 0;
     int postsLeft = 0;
     Nanos promotedBy = 0;  // by then every promotion asked for so far has been carried out
-    // A start ends a pause, so none is assumed between a pause and the promotion that rests on it.
+    // A start ends a pause, so none is assumed between a pause and the promotion that rests on it. No
+    // promotion goes on without a store that is still on record.
     bool mayStart() const {
-        return !left.empty() && now - leftAt > millis(3000) && lead && lead->steady && now > promotedBy;
+        if (left.empty() || !lead || now - leftAt <= millis(3000) || now <= promotedBy) return false;
+        return lead->steady || lead->replicas.count(left) > 0;
     }
     std::vector<std::string> acknowledged, faults;
     static constexpr Nanos frontLease = millis(700);
--- a/tests/system/promotion.cpp
+++ b/tests/system/promotion.cpp
@@ -249,10 +249,10 @@
     runWithWrites(rig, millis(45'000));
 }
 
-// SEEDS says how many runs; a dozen of each kind without.
+// SEEDS says how many runs; two dozen without.
 TEST(Promotion, KeepsEveryRuleUnderRandomFaults) {
     const char* told = std::getenv("SEEDS");
-    const unsigned seeds = told ? static_cast<unsigned>(std::atoi(told)) : 12;
+    const unsigned seeds = told ? static_cast<unsigned>(std::atoi(told)) : 24;
     std::size_t promotions = 0;
     for (unsigned seed = 1; seed <= seeds && !HasFailure(); ++seed) {
         PromotionRig::Options options;
