--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -47,7 +47,7 @@
     void call(std::uint64_t call, const std::string& method, const std::vector<std::string>& path,
               const std::string& body, Nanos now);
     void storeAnswered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now);
-    void platformAnswered(std::uint64_t ask, int status, Nanos now);
+    void platformAnswered(std::uint64_t ask, PromotionAnswer answer, Nanos now);
     // A reply of this member's own vote (ToSelf): what it says is on disk.
     void voteStored(const Json& reply, Nanos now);
     // How the disk does; said before each tick and when it changes.
@@ -72,6 +72,8 @@
     std::uint64_t nextAsk(Succession& asker) override;
     void change(const std::string& service, std::uint64_t ifSeq, Lead to,
                 std::function<void(std::optional<Lead>)> done) override;
+    void confirm(const std::string& service, const Lead& expected,
+                 std::function<void(Confirmation, Nanos now)> done) override;
     const board::Board& board() const override { return gossip_.board(); }
     int syncReplicas(const std::string& service) const override;
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -28,6 +28,9 @@
     int tolerance = 1;      // machines that may be lost at once
     std::string platform;   // address; empty: none
     bool promotes = false;  // whether promotions are the system's to make
+    // Whether the platform refuses a fence lower than one it has seen; unsaid counts as no.
+    bool fenceChecked = false;
+    int lease_ms = 0;  // holders of a duty must not take turns within this; 0: nothing said
 };
 
 // Throws InvalidSettings.
