Proxy: match answers to questions by form; believe no lease's time with another's list

Need: review of every path by which a connection to a store is used again, an answer is taken for a question's, and a read of the lead is held to be safe.

Change: AnswerReader checks each answer's form and any breach ends the connection; board::HeldLease keeps a lease's end and its list together, LeaseQuestions the open questions; connections are let go in one place; the deadline is looked at again when the statement is sent. Stand-ins: faults for each request and answer, answers held back, runs with values and shapes, stamps by statement.

--- /dev/null
+++ b/src/board/lease.hpp
@@ -0,0 +1,52 @@
+// The lease under which leads may be read plainly, as those hold it who got it from a process nearer to the
+// core: the agent from its parent, the proxy from its agent. Free of I/O and clocks.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "nanos.hpp"
+
+namespace granitereel::board {
+
+// Questions for the lease that are out on one link. An answer counts once, for its own question, and closes
+// all earlier ones. Numbers go on over links, so that no answer of an earlier link matches.
+class LeaseQuestions {
+public:
+    // The number of a question that is sent at `now`.
+    std::uint64_t ask(Nanos now);
+    // When the question was sent; none: it is not open.
+    std::optional<Nanos> answered(std::uint64_t number);
+    // The link is gone or another: no answer is awaited any more.
+    void forget() { sentAt_.clear(); }
+
+private:
+    std::uint64_t last_ = 0;
+    std::map<std::uint64_t, Nanos> sentAt_;
+};
+
+// A lease and the services whose lead was known to be changing when it was given belong together: the voters
+// of its round answered with them. So the time of one grant is never used with the list of another.
+class HeldLease {
+public:
+    // The answer to a question sent at `asked`: `left` of the lease in ns, 0 or less: none; `unsettled`: the
+    // sequence number from which a service's record is proof of its lead again, by service. Throws
+    // nlohmann::json::exception where `unsettled` is not of this form, and changes nothing then.
+    void granted(Nanos asked, Nanos left, const nlohmann::json& unsettled);
+    bool valid(Nanos now) const { return now < until_; }
+    // Nanoseconds, at least 0.
+    Nanos left(Nanos now) const { return until_ > now ? until_ - now : 0; }
+    Nanos until() const { return until_; }
+    // Whether the record of a service's lead with this sequence number is no longer in doubt.
+    bool settles(const std::string& service, std::uint64_t sequence) const;
+    nlohmann::json unsettled() const { return unsettled_; }
+
+private:
+    Nanos until_ = 0;
+    std::map<std::string, std::uint64_t> unsettled_;
+};
+
+}  // namespace granitereel::board
--- a/src/proxy/pooler.cpp
+++ b/src/proxy/pooler.cpp
@@ -65,9 +65,7 @@
             if (!s.op || s.op->launches - 1 != no || !s.op->store) continue;
             Store& store = *s.op->store;
             if (Line* line = s.op->line) {
-                line->user = nullptr;
-                line->abandonedAt = now_;
-                if (s.line == line) s.line = nullptr;
+                letGo(*line);
             } else {
                 unwait(s);
             }
@@ -237,9 +235,7 @@
 }
 
 bool Pooler::provable(const Service& of) const {
-    const auto markUnsettled = unsettledLeads_.find(of.name);
-    return of.steady && now_ < leaseUntil_ &&
-           (markUnsettled == unsettledLeads_.end() || markUnsettled->second <= of.seq);
+    return of.steady && lease_.valid(now_) && lease_.settles(of.name, of.seq);
 }
 
 int Pooler::share(const Service& of) const {
@@ -258,7 +254,7 @@
 void Pooler::agentDown() {
     agent_ = false;
     gossip_.leave(1);
-    leaseAsks_.clear();
+    leaseQuestions_.forget();
 }
 
 void Pooler::agentSaid(const Json& message, Nanos now) {
@@ -267,15 +263,9 @@
     if (kind == "news" || kind == "whole?") {
         gossip_.heard(1, message);
     } else if (kind == "lease") {
-        const auto asked = leaseAsks_.find(message.at("t").get<std::uint64_t>());
-        if (asked != leaseAsks_.end()) {
-            const Nanos left = message.at("left").get<std::int64_t>() * 1000;
-            if (left > 0) leaseUntil_ = std::max(leaseUntil_, asked->second + left);
-            leaseAsks_.erase(leaseAsks_.begin(), std::next(asked));
-            unsettledLeads_.clear();
-            for (const auto& [name, seq] : message.at("c").items())
-                unsettledLeads_[name] = seq.get<std::uint64_t>();
-        }
+        const auto asked = leaseQuestions_.answered(message.at("t").get<std::uint64_t>());
+        // Told in microseconds.
+        if (asked) lease_.granted(*asked, message.at("left").get<std::int64_t>() * 1000, message.at("c"));
     }
     settle();
 }
@@ -302,6 +292,7 @@
 
 void Pooler::clientCame(int client, Nanos now) {
     begin(now);
+    remove(client);
     auto& slot = sessions_[client];
     slot = std::make_unique<Session>();
     slot->client = client;
@@ -348,19 +339,9 @@
                 front_.lapsed(key);
         }
         unwait(s);
-        if (Line* line = s.op->line) {
-            line->user = nullptr;
-            line->abandonedAt = now_;
-        }
-    }
-    if (s.line) {
-        Line& line = *s.line;
-        line.user = nullptr;
-        if (line.expects.empty())
-            release(line, "-");
-        else
-            line.abandonedAt = now_;
+        if (s.op->line) letGo(*s.op->line);
     }
+    if (s.line && s.line->user == &s) letGo(*s.line);
     sessions_.erase(at);
 }
 
@@ -581,18 +562,12 @@
     ++(error == Error::indoubt ? counts_.indoubt : counts_.promised);
     if (!s.op->key.empty()) byKey_.erase(s.op->key);
     unwait(s);
+    const bool commit = s.op->commit;
     s.op.reset();
-    if (s.tx && s.line) {
-        // The store still holds it.
-        Line& line = *s.line;
-        line.user = nullptr;
-        s.line = nullptr;
-        if (line.expects.empty())
-            release(line, "-");
-        else
-            line.abandonedAt = now_;
-    }
+    // The store still holds it.
+    if (s.tx && s.line) letGo(*std::exchange(s.line, nullptr));
     if (s.tx) s.tx->begun = false;
+    if (commit) endTx(s);
     refuse(s, error, text, s.tx ? 'E' : 'I');
     woken_.push_back(s.client);
 }
@@ -654,6 +629,7 @@
     auto line = std::make_unique<Line>();
     line->no = no;
     line->store = &store;
+    line->address = store.address;
     line->probe = probe;
     line->askedAt = now_;
     ++store.lines;
@@ -746,7 +722,6 @@
             Part::prelude);
     }
     if (s.tx && !pinned) {
-        line.proven = line.store->id == line.store->service->lead && provable(*line.store->service);
         if (op.guarded) {
             ++counts_.guarded;
             ask(line, "-", "BEGIN", Part::begin);
@@ -764,6 +739,8 @@
 
 void Pooler::sendMain(Session& s, Line& line) {
     Op& op = *s.op;
+    // A process that stood still may have come here late.
+    if (now_ >= op.deadline) return timeOver(s, line);
     op.preluding = false;
     op.sent = true;
     if (s.tx && op.writes) s.tx->wrote = true;
@@ -772,7 +749,10 @@
     ++(of.lead == line.store->id ? near ? counts_.leadNear : counts_.leadFar
        : near                    ? counts_.replicaNear
                                  : counts_.replicaFar);
-    line.proven = of.lead == line.store->id && (provable(of) || op.guarded || (s.tx && !s.tx->readOnly));
+    // A store that has lost the lead refuses what it is asked inside a plain transaction, but for the COMMIT
+    // of one that wrote nothing.
+    const bool refusedWithout = !op.commit && (op.guarded || (s.tx && !s.tx->readOnly));
+    line.proven = of.lead == line.store->id && (provable(of) || refusedWithout);
     line.askedAt = now_;
     ask(line, op.statement.id, op.after + op.text, Part::main);
 }
@@ -785,6 +765,7 @@
     begin(now);
     Line& line = *at->second;
     line.askedAt = now;
+    line.proven = line.store->id == line.store->service->lead && provable(*line.store->service);
     outputs_.push_back(ToLine{
         no, "GREET " + line.store->service->name + " " + settings_.station + " " + line.store->id + "\r\n"});
 }
@@ -794,93 +775,110 @@
     if (at == lines_.end() || at->second->dead) return;
     begin(now);
     Line& line = *at->second;
+    line.store->heard = line.heardAt = now;
+    if (!line.open) {
+        greeted(line, text);
+    } else if (line.expects.empty()) {
+        outOfStep(line);  // nothing was asked
+    } else {
+        switch (line.reader.take(text)) {
+            case AnswerReader::Progress::partial:
+                break;
+            case AnswerReader::Progress::malformed:
+                outOfStep(line);
+                break;
+            case AnswerReader::Progress::whole: {
+                const Part part = line.expects.front();
+                line.expects.pop_front();
+                answered(line, part, line.reader.finish());
+            }
+        }
+    }
+    settle();
+}
+
+void Pooler::greeted(Line& line, std::string_view text) {
     Store& store = *line.store;
-    store.heard = line.heardAt = now;
     std::string_view rest = text;
     const std::string_view word = takeField(rest);
-    if (word == "ROW") {
-        line.rows.append(text).append("\r\n");
-    } else if (word == "DONE") {
-        line.done.assign(text).append("\r\n");
-    } else if (word == "ERROR") {
-        line.error = errorOf(takeField(rest));
-        line.errorText = rest;
-        if (!line.open) {
-            const bool full = line.error == Error::full;
-            const bool probing = line.probe;
-            drop(line);
-            if (probing) {
-                store.probing = false;
-                front_.probed(store.id, full ? Ending::full : Ending::unreachable);
-            }
-            const std::deque<int> waiting = std::exchange(store.waiting, {});
-            for (const int client : waiting) {
-                const auto who = sessions_.find(client);
-                if (who == sessions_.end() || !who->second->op || who->second->op->store != &store) continue;
-                Op& op = *who->second->op;
-                report(op.key, op.launches - 1, store, full ? Ending::full : Ending::unreachable,
-                       op.launchedAt, {}, false);
-            }
-        }
-    } else if (word == "READY") {
-        const std::string_view state = takeField(rest);
-        const auto mark = readMark(rest);
-        if (!line.open) {
-            line.open = true;
-            line.usedAt = now;
-            if (mark && store.id == store.service->lead && provable(*store.service))
-                store.service->horizon.saw(*mark, line.askedAt);
-            if (std::exchange(line.probe, false)) {
-                store.probing = false;
-                front_.probed(store.id, Ending::delivered);
-            }
-            idle(line);
-        } else if (!line.expects.empty()) {
-            const Part part = line.expects.front();
-            line.expects.pop_front();
-            answered(line, part, state.empty() ? 'I' : state[0], mark);
+    Answer answer;
+    if (word == "READY" && readReady(rest, answer) && answer.state == 'I') {
+        line.open = true;
+        line.usedAt = now_;
+        if (answer.mark && line.proven) store.service->horizon.saw(*answer.mark, line.askedAt);
+        if (std::exchange(line.probe, false)) {
+            store.probing = false;
+            front_.probed(store.id, Ending::delivered);
         }
+        return idle(line);
+    }
+    if (word != "ERROR") {
+        outputs_.push_back(CloseLine{line.no});
+        return ended(line, false);
+    }
+    const Ending how = errorOf(takeField(rest)) == Error::full ? Ending::full : Ending::unreachable;
+    drop(line);
+    if (line.probe) {
+        store.probing = false;
+        front_.probed(store.id, how);
+    }
+    refuseWaiting(store, how);
+}
+
+// No connection could be had for those who wait for one there.
+void Pooler::refuseWaiting(Store& store, Ending how) {
+    for (const int client : std::exchange(store.waiting, {})) {
+        const auto who = sessions_.find(client);
+        if (who == sessions_.end() || !who->second->op || who->second->op->store != &store) continue;
+        Op& op = *who->second->op;
+        report(op.key, op.launches - 1, store, how, op.launchedAt, {}, false);
     }
-    settle();
 }
 
-void Pooler::answered(Line& line, Part part, char state, std::optional<Mark> mark) {
+void Pooler::outOfStep(Line& line) {
+    ++counts_.outOfStep;
+    Session* s = line.user;
+    drop(line);
+    if (s) lost(*s, line);
+}
+
+void Pooler::letGo(Line& line) {
+    line.user = nullptr;
+    if (!line.expects.empty())
+        line.abandonedAt = now_;
+    else if (line.inTx)
+        release(line, "-");
+    else
+        idle(line);
+}
+
+void Pooler::answered(Line& line, Part part, const Answer& answer) {
     Session* s = line.user;
     Store& store = *line.store;
-    line.inTx = state != 'I';
-    auto clear = [&] {
-        line.rows.clear();
-        line.done.clear();
-        line.error.reset();
-    };
+    line.inTx = answer.state != 'I';
+    // Its values or names are not as they ought to be, or it still holds what it was to roll back: it serves
+    // nobody any more, whoever asked.
+    if (part == Part::prelude && answer.error) return outOfStep(line);
+    if (part == Part::cleanup && line.inTx) return outOfStep(line);
+    if (part == Part::begin && !answer.error && answer.state != 'T') return outOfStep(line);
     if (!s) {  // nobody waits for it any more
-        clear();
         if (!line.expects.empty()) return;
         line.abandonedAt = 0;
-        if (line.inTx) return release(line, "-");
-        return idle(line);
+        return letGo(line);
     }
     Op& op = *s->op;
-    if (part == Part::main) return mainAnswered(*s, line, state, mark);
-    if (line.error && part == Part::prelude) {
-        // Its values are not as they ought to be: it serves nobody any more.
-        drop(line);
-        return lost(*s, line);
-    }
+    if (part == Part::main) return mainAnswered(*s, line, answer);
     if (part == Part::begin) {
-        if (line.error) {
-            const Error error = *line.error;
-            if (error == Error::lagging) lags(store, mark);
+        if (answer.error) {
+            const Error error = *answer.error;
+            if (error == Error::lagging) lags(store, answer.mark);
             op.lastError = error;
-            op.lastText = line.errorText;
-            clear();
+            op.lastText = answer.errorText;
             op.line = nullptr;
             op.preluding = false;
-            const std::optional<Nanos> position = mark ? store.service->horizon.holds(*mark) : std::nullopt;
-            if (line.inTx)
-                release(line, "-");
-            else
-                idle(line);
+            const std::optional<Nanos> position =
+                answer.mark ? store.service->horizon.holds(*answer.mark) : std::nullopt;
+            letGo(line);
             return report(op.key, op.launches - 1, store,
                           error == Error::busy || error == Error::full ? Ending::full : Ending::missed,
                           op.launchedAt, position, false);
@@ -890,24 +888,25 @@
             s->line = &line;
         }
     }
-    clear();
     if (line.expects.empty()) sendMain(*s, line);
 }
 
-void Pooler::mainAnswered(Session& s, Line& line, char state, std::optional<Mark> mark) {
+void Pooler::mainAnswered(Session& s, Line& line, const Answer& answer) {
     Op& op = *s.op;
     Store& store = *line.store;
     Service& of = *store.service;
     const bool first = !op.key.empty();
-    const bool done = !line.error;
+    const bool done = !answer.error;
+    const std::optional<Mark> mark = answer.mark;
+    const char state = answer.state;
+    // Only COMMIT ends a transaction with success.
+    if (done && s.tx && !op.commit && state == 'I') return outOfStep(line);
+    if (done && s.tx && op.writes) s.tx->written = true;
     if (done && mark && (line.proven || op.writes)) of.horizon.saw(*mark, line.askedAt);
     const std::optional<Nanos> position = !mark ? std::nullopt : of.horizon.holds(*mark);
-    const Error error = line.error.value_or(Error::other);
-    const std::string text = line.errorText;
-    const std::string bytes = done ? line.rows + line.done : errorLine(error, text);
-    line.rows.clear();
-    line.done.clear();
-    line.error.reset();
+    const Error error = answer.error.value_or(Error::other);
+    const std::string& text = answer.errorText;
+    const std::string bytes = done ? answer.rows + answer.done : errorLine(error, text);
     const ErrorEntry& entry = entryOf(error);
     const std::string key = op.key;
     const int launchNo = op.launches - 1;
@@ -924,7 +923,7 @@
         woken_.push_back(s.client);
     };
     if (op.commit) {
-        if (done && s.tx->wrote && mark) {
+        if (done && s.tx->written && mark) {
             s.own = *mark;
             s.ownAt = line.askedAt;
             of.horizon.saw(*mark, line.askedAt);
@@ -935,7 +934,7 @@
         if (first)
             report(key, launchNo, store, done ? Ending::delivered : Ending::error, launchedAt, position,
                    true);
-        return line.inTx ? release(line, "-") : idle(line);
+        return letGo(line);
     }
     if (!done && first && entry.elsewhere) {
         // Nothing ran: another store may do better, or this one later.
@@ -949,11 +948,7 @@
             s.tx->begun = false;
             s.line = nullptr;
         }
-        line.user = nullptr;
-        if (line.inTx)
-            release(line, "-");
-        else
-            idle(line);
+        letGo(line);
         return report(key, launchNo, store,
                       error == Error::busy || error == Error::full ? Ending::full : Ending::missed,
                       launchedAt, position, false);
@@ -972,12 +967,6 @@
         return;
     }
     line.user = nullptr;
-    auto free = [&] {
-        if (line.inTx)
-            release(line, "-");
-        else
-            idle(line);
-    };
     if (done) {
         if (op.writes && mark) {
             s.own = *mark;
@@ -985,13 +974,13 @@
         }
         reply('I');
         report(key, launchNo, store, Ending::delivered, launchedAt, position, true);
-        return free();
+        return letGo(line);
     }
     op.lastError = error;
     op.lastText = text;
     op.line = nullptr;
     op.sent = false;
-    free();
+    letGo(line);
     // Of a read the module may try again; of a write this is the answer.
     report(key, launchNo, store, Ending::error, launchedAt, position, false);
 }
@@ -1007,6 +996,7 @@
 // Rolls back what the store holds for nobody any more; the line serves others once that is done.
 void Pooler::release(Line& line, const std::string& abortId) {
     line.user = nullptr;
+    line.abandonedAt = now_;
     ask(line, abortId, "ABORT", Part::cleanup);
 }
 
@@ -1014,7 +1004,9 @@
     line.user = nullptr;
     if (line.dead) return;
     Store& store = *line.store;
-    if (store.gone || (store.windingSince && store.service->lead != store.id)) return drop(line);
+    if (store.gone || line.address != store.address ||
+        (store.windingSince && store.service->lead != store.id))
+        return drop(line);
     store.idle.insert(line.no);
     serveWaiting(store);
 }
@@ -1065,13 +1057,7 @@
         front_.probed(store.id, refused ? Ending::unreachable : Ending::timedOut);
     }
     if (!wasOpen) {
-        const std::deque<int> waiting = std::exchange(store.waiting, {});
-        for (const int client : waiting) {
-            const auto who = sessions_.find(client);
-            if (who == sessions_.end() || !who->second->op || who->second->op->store != &store) continue;
-            Op& op = *who->second->op;
-            report(op.key, op.launches - 1, store, Ending::unreachable, op.launchedAt, {}, false);
-        }
+        refuseWaiting(store, Ending::unreachable);
     }
     if (s) lost(*s, line);
 }
@@ -1118,15 +1104,30 @@
     report(key, launchNo, store, sent ? how : Ending::unreachable, op.launchedAt, {}, false);
 }
 
+// Nothing is kept of a read, nor of what was not sent; nor of a transaction that was not asked to commit.
+void Pooler::timeOver(Session& s, Line& line) {
+    Op& op = *s.op;
+    if (s.tx || (op.writes && op.sent)) {
+        drop(line);
+        return lost(s, line, Ending::timedOut);
+    }
+    const std::string key = op.key;
+    const int launchNo = op.launches - 1;
+    const Nanos launchedAt = op.launchedAt;
+    op.lastError = Error::busy;
+    op.lastText = "no answer in time; come back in " + std::to_string(comeBack_ms) + " ms";
+    answerLast(s);
+    letGo(line);
+    report(key, launchNo, *line.store, Ending::timedOut, launchedAt, {}, true);
+}
+
 // ---- time -----------------------------------------------------------------------------------------
 
 void Pooler::tick(Nanos now) {
     begin(now);
     if (agent_ && now - askedAt_ >= leaseAskEvery) {
         askedAt_ = now;
-        leaseAsks_[++askNo_] = now;
-        if (leaseAsks_.size() > 8) leaseAsks_.erase(leaseAsks_.begin());
-        outputs_.push_back(ToAgent{{{"k", "lease?"}, {"t", askNo_}}});
+        outputs_.push_back(ToAgent{{{"k", "lease?"}, {"t", leaseQuestions_.ask(now)}}});
     }
     if (now >= wakeAt_) front_.woke(0);
     settle();
@@ -1162,23 +1163,7 @@
                 s->state = 'E';
             }
         } else if (s->op && s->op->line == line && now >= s->op->deadline) {
-            // The time is over. Of a read nothing is kept; of a transaction nothing that was not committed.
-            Op& op = *s->op;
-            const std::string key = op.key;
-            const int launchNo = op.launches - 1;
-            const Nanos launchedAt = op.launchedAt;
-            Store& at = store;
-            if (s->tx || op.writes) {
-                drop(*line);
-                lost(*s, *line, Ending::timedOut);
-            } else {
-                line->user = nullptr;
-                line->abandonedAt = now;
-                op.lastError = Error::busy;
-                op.lastText = "no answer in time; come back in " + std::to_string(comeBack_ms) + " ms";
-                answerLast(*s);
-                report(key, launchNo, at, Ending::timedOut, launchedAt, {}, true);
-            }
+            timeOver(*s, *line);
         }
     }
     // What waits for a connection past its time.
--- a/src/proxy/pooler.hpp
+++ b/src/proxy/pooler.hpp
@@ -15,8 +15,10 @@
 #include <vector>
 
 #include "board/gossip.hpp"
+#include "board/lease.hpp"
 #include "configuration/configuration.hpp"
 #include "front.hpp"
+#include "proxy/answer.hpp"
 #include "proxy/horizon.hpp"
 #include "proxy/wire.hpp"
 #include "settings/settings.hpp"
@@ -58,7 +60,7 @@
 // What has happened since the start, for the log.
 struct Counts {
     std::uint64_t sessions = 0, statements = 0, transactions = 0, answered = 0, promised = 0, indoubt = 0,
-                  opened = 0;
+                  opened = 0, outOfStep = 0;
     std::uint64_t own = 0, guarded = 0, lagging = 0, leadNear = 0, leadFar = 0, replicaNear = 0,
                   replicaFar = 0;
 };
@@ -118,6 +120,7 @@
     struct Session;
     struct Line {
         int no = 0;
+        std::string address;  // where it was opened; the store may have moved since
         Store* store = nullptr;
         bool open = false, probe = false, dead = false;
         std::map<std::string, std::string> values;
@@ -125,11 +128,10 @@
         Session* user = nullptr;  // whose statement or transaction it serves
         bool inTx = false;        // the store holds a transaction of ours open
         std::deque<Part> expects;
-        std::string rows, done;
-        std::optional<Error> error;
-        std::string errorText;
+        AnswerReader reader;
         Nanos askedAt = 0, usedAt = 0, heardAt = 0, abandonedAt = 0;
-        bool proven = false;  // the store had the lead for certain when it was asked
+        // A success of what it was asked last shows that the store had the lead when it was asked.
+        bool proven = false;
     };
     // A statement in hand.
     struct Op {
@@ -147,7 +149,9 @@
     };
     struct Tx {
         Tx() {}  // clang wants it before the class around it is whole
-        bool readOnly = false, begun = false, wrote = false;
+        bool readOnly = false, begun = false;
+        bool wrote = false;    // a write was sent
+        bool written = false;  // a write has succeeded
         std::string beginId;
         Nanos came = 0;
         configuration::Route route;
@@ -203,9 +207,15 @@
     void prelude(Session& s, Line& line);
     void sendMain(Session& s, Line& line);
     bool safe(Session& s, Store& store, std::string& after, bool& guarded);
-    void answered(Line& line, Part part, char state, std::optional<Mark> mark);
-    void mainAnswered(Session& s, Line& line, char state, std::optional<Mark> mark);
-    void finishOp(Session& s, Line& line, const std::string& bytes, char state);
+    void greeted(Line& line, std::string_view text);
+    void answered(Line& line, Part part, const Answer& answer);
+    void mainAnswered(Session& s, Line& line, const Answer& answer);
+    // The connection's answers can't be matched to its questions any more.
+    void outOfStep(Line& line);
+    // What the line was asked for interests nobody any more; it serves others once it has answered.
+    void letGo(Line& line);
+    // The deadline of the session's statement, which is at that line, has passed.
+    void timeOver(Session& s, Line& line);
     void report(const std::string& key, int launchNo, Store& store, Ending how, Nanos launchedAt,
                 std::optional<Nanos> position, bool over);
     void lags(Store& store, std::optional<Mark> mark);
@@ -213,6 +223,7 @@
     void idle(Line& line);
     void drop(Line& line);
     void serveWaiting(Store& store);
+    void refuseWaiting(Store& store, Ending how);
     void endTx(Session& s);
     void ended(Line& line, bool refused);
     void lost(Session& s, Line& line, Ending how = Ending::broken);
@@ -231,10 +242,10 @@
     Front front_;
     configuration::Configuration configuration_;
     bool configured_ = false, leaving_ = false, agent_ = false;
-    Nanos leftAt_ = 0, leaseUntil_ = 0, askedAt_ = 0, sweptAt_ = 0;
-    std::uint64_t askNo_ = 0, keyNo_ = 0;
-    std::map<std::uint64_t, Nanos> leaseAsks_;
-    std::map<std::string, std::uint64_t> unsettledLeads_;
+    Nanos leftAt_ = 0, askedAt_ = 0, sweptAt_ = 0;
+    std::uint64_t keyNo_ = 0;
+    board::LeaseQuestions leaseQuestions_;
+    board::HeldLease lease_;
     std::map<std::string, std::unique_ptr<Service>> services_;
     std::map<int, Service*> byGroup_;
     std::unordered_map<std::string, std::unique_ptr<Store>> stores_;
--- a/src/proxy/program.cpp
+++ b/src/proxy/program.cpp
@@ -80,10 +80,11 @@
             spdlog::info(
                 "counts sessions={} open={} lines={} statements={} tx={} answered={} promised={} indoubt={} "
                 "opened={} "
-                "own={} guarded={} lagging={} lead_near={} lead_far={} replica_near={} replica_far={}",
+                "out_of_step={} own={} guarded={} lagging={} lead_near={} lead_far={} replica_near={} "
+                "replica_far={}",
                 c.sessions, pooler_.sessions(), pooler_.lines(), c.statements, c.transactions, c.answered,
-                c.promised, c.indoubt, c.opened, c.own, c.guarded, c.lagging, c.leadNear, c.leadFar,
-                c.replicaNear, c.replicaFar);
+                c.promised, c.indoubt, c.opened, c.outOfStep, c.own, c.guarded, c.lagging, c.leadNear,
+                c.leadFar, c.replicaNear, c.replicaFar);
         }
         // New connections come for as long as the platform has not seen that this front leaves.
         if (endAt_ && (now >= endAt_ || (now - leftAt_ > millis(2600) && pooler_.over()))) {
--- a/standins/databases.cpp
+++ b/standins/databases.cpp
@@ -61,7 +61,18 @@
     return "ERROR " + error + " " + c.store + "\r\n" + ready(c);
 }
 
-std::optional<std::string> Databases::commit(Connection& c) {
+std::string Databases::stamped(const char* kind, const std::string& id) {
+    const std::string stamp = kind + std::to_string(++stamp_);
+    stamps_[stamp] = id;
+    return "DONE " + stamp + "\r\n";
+}
+
+std::string Databases::stampedFor(const std::string& stamp) const {
+    const auto found = stamps_.find(stamp);
+    return found == stamps_.end() ? "" : found->second;
+}
+
+std::optional<std::string> Databases::commit(Connection& c, const std::string& id) {
     Store& store = stores_.at(c.store);
     const bool writes = !c.writes.empty();
     if (writes) {
@@ -72,7 +83,7 @@
             received += name != c.store && each.log.size() >= store.log.size();
         if (received < sync_) return std::nullopt;  // waits for a replica
     }
-    return "DONE stamp" + std::to_string(++stamp_) + "\r\n";
+    return stamped("stamp", id);
 }
 
 std::optional<std::string> Databases::said(int connection, const std::string& line) {
@@ -104,7 +115,13 @@
     if (!rest.empty()) rest.erase(0, 1);
     const bool leads = c.store == lead_;
     if (c.failed && word != "ABORT" && word != "COMMIT") return failed(c, "MALFORMED");
-    if (id != "-") ran_[id].insert(std::to_string(connection));
+    if (id != "-") {
+        ran_[id].insert(std::to_string(connection));
+        const bool executes = word == "EXECUTE";
+        const auto shape = c.prepared.find(executes ? rest.substr(0, rest.find(' ')) : "");
+        runs_.push_back({connection, c.tx ? c.transaction : 0, id, word + " " + rest,
+                         shape == c.prepared.end() ? "" : shape->second, c.values});
+    }
     bool lost = false;
     auto done = [&](const std::string& rows = "DONE -\r\n") -> std::optional<std::string> {
         if (lost) return std::nullopt;
@@ -146,6 +163,7 @@
         c.tx = true;
         c.plain = rest.empty();
         c.txTerm = term_;
+        c.transaction = ++lastTransaction_;
         return done();
     }
     if (const std::string error = std::exchange(store.refuses, {}); !error.empty()) return failed(c, error);
@@ -163,7 +181,7 @@
             c.writes.clear();
             return failed(c, "ABORTED");
         }
-        auto answer = commit(c);
+        auto answer = commit(c, id);
         c.tx = false;
         if (!answer || lost) return std::nullopt;
         return *answer + ready(c);
@@ -185,16 +203,16 @@
         if (!leads || (c.tx && !c.plain)) return failed(c, "READONLY");
         c.writes.push_back(id);
         if (!c.tx) {
-            auto answer = commit(c);
+            auto answer = commit(c, id);
             if (!answer || lost) return std::nullopt;
             return *answer + ready(c);
         }
-        return done("DONE w" + std::to_string(++stamp_) + "\r\n");
+        return done(stamped("w", id));
     }
     // A read names what it sees: how many writes, and under which values.
     std::string rows = "ROW " + std::to_string(store.applied);
     for (const auto& [name, value] : c.values) rows += " " + name + "=" + value;
-    return done(rows + "\r\nDONE r" + std::to_string(++stamp_) + "\r\n");
+    return done(rows + "\r\n" + stamped("r", id));
 }
 
 int Databases::effects(const std::string& write) const {
--- a/standins/databases.hpp
+++ b/standins/databases.hpp
@@ -17,6 +17,13 @@
 
 class Databases {
 public:
+    // A statement of a client that a store ran, as the auditor sees it.
+    struct Run {
+        int connection = 0;
+        int transaction = 0;  // counted over all connections; 0: outside any
+        std::string id, text, shape;
+        std::map<std::string, std::string> values;
+    };
     // Stores "s0", "s1", ...; s0 leads term 1. `sync`: replicas that must have a commit before it is
     // answered.
     Databases(std::string service, int stores, int sync);
@@ -26,6 +33,10 @@
     int connect(const std::string& store);
     std::optional<std::string> said(int connection, const std::string& line);
     void closed(int connection);
+    // The answer of a store that does not run what it was asked.
+    std::string refusal(int connection, const std::string& error) {
+        return failed(connections_.at(connection), error);
+    }
 
     // The platform's part. Whether the store leads, with what it had received.
     bool promote(const std::string& store);
@@ -48,6 +59,10 @@
     int effects(const std::string& write) const;                 // of a write, by its text, in the lead's log
     std::vector<std::string> faults() const { return faults_; }  // broken rules, in words
     std::set<std::string> ranOn(const std::string& id) const;  // connections that ran a statement, by its id
+    const std::vector<Run>& runs() const { return runs_; }
+    // The statement that a stamp was given for; empty: no such stamp.
+    std::string stampedFor(const std::string& stamp) const;
+    std::size_t commits() const { return stores_.at(lead_).log.size(); }
 
 private:
     struct Entry {
@@ -65,12 +80,15 @@
         std::string store;
         bool greeted = false, tx = false, plain = false, failed = false;
         std::uint64_t txTerm = 0;
+        int transaction = 0;
         std::map<std::string, std::string> values, prepared;
         std::vector<std::string> writes;
     };
     std::string ready(const Connection& c) const;
     std::string failed(Connection& c, const std::string& error);
-    std::optional<std::string> commit(Connection& c);
+    std::optional<std::string> commit(Connection& c, const std::string& id);
+    // "DONE stamp\r\n" for a statement.
+    std::string stamped(const char* kind, const std::string& id);
     void replicate();
 
     std::string service_, lead_;
@@ -78,7 +96,9 @@
     std::uint64_t term_ = 1, next_ = 1;
     std::map<std::string, Store> stores_;
     std::map<int, Connection> connections_;
-    int lastConnection_ = 0, stamp_ = 0;
+    int lastConnection_ = 0, stamp_ = 0, lastTransaction_ = 0;
+    std::vector<Run> runs_;
+    std::map<std::string, std::string> stamps_;
     std::map<std::string, std::set<std::string>> ran_;
     std::vector<std::string> faults_;
 };
--- a/standins/poolerrig.cpp
+++ b/standins/poolerrig.cpp
@@ -61,9 +61,10 @@
     carry();
 }
 
-void PoolerRig::standing(const std::string& store, const std::string& standing, const std::string& role) {
+void PoolerRig::standing(const std::string& store, const std::string& standing, const std::string& role,
+                         const std::string& address) {
     json body{{"service", "svc"},
-              {"address", store},
+              {"address", address.empty() ? store : address},
               {"district", "here"},
               {"standing", standing},
               {"role", role.empty() ? databases.roleOf(store) : role}};
@@ -156,12 +157,24 @@
         if (line.requests.empty()) continue;
         const std::string request = line.requests.front();
         line.requests.pop_front();
-        const auto answer = databases.said(line.connection, request);
-        if (!answer) return true;
-        const int line_ = no;
-        std::string all = *answer;
-        for (std::size_t cut; (cut = all.find("\r\n")) != all.npos; all.erase(0, cut + 2))
-            pooler->lineSaid(line_, all.substr(0, cut), now);
+        const Fault how = fault ? fault(line.store, request) : Fault();
+        std::optional<std::string> answer;
+        if (!how.refusal.empty()) {
+            answer = databases.refusal(line.connection, how.refusal);
+        } else if (how.arrives) {
+            requests.push_back(request);
+            answer = databases.said(line.connection, request);
+        }
+        if (how.answer) answer = how.answer;
+        const int from = no;  // the line may be gone after the answer
+        if (answer) {
+            const std::string through = answer->substr(0, how.bytes);
+            if (holdsAnswers)
+                heldAnswers_.emplace_back(from, through);
+            else
+                storeSays(from, through);
+        }
+        if (how.cut) cut(from);
         carry();
         return true;
     }
@@ -197,18 +210,34 @@
     }
 }
 
+void PoolerRig::storeSays(int line, std::string bytes) {
+    for (std::size_t end; (end = bytes.find("\r\n")) != bytes.npos; bytes.erase(0, end + 2))
+        pooler->lineSaid(line, bytes.substr(0, end), now);
+    carry();
+}
+
+void PoolerRig::deliver() {
+    for (const auto& [line, bytes] : std::exchange(heldAnswers_, {})) storeSays(line, bytes);
+}
+
+std::vector<int> PoolerRig::linesTo(const std::string& store) const {
+    std::vector<int> found;
+    for (const auto& [no, line] : lines_)
+        if (line.store == store) found.push_back(no);
+    return found;
+}
+
 void PoolerRig::cutAll(const std::string& store) {
-    std::vector<int> cut;
-    for (auto& [no, line] : lines_)
-        if (line.store == store) cut.push_back(no);
-    for (const int no : cut) {
-        const auto at = lines_.find(no);
-        if (at == lines_.end()) continue;
-        if (at->second.connection) databases.closed(at->second.connection);
-        lines_.erase(at);
-        pooler->lineEnded(no, false, now);
-        carry();
-    }
+    for (const int no : linesTo(store)) cut(no);
+}
+
+void PoolerRig::cut(int no) {
+    const auto at = lines_.find(no);
+    if (at == lines_.end()) return;
+    if (at->second.connection) databases.closed(at->second.connection);
+    lines_.erase(at);
+    pooler->lineEnded(no, false, now);
+    carry();
 }
 
 }  // namespace granitereel::standins
--- a/standins/poolerrig.hpp
+++ b/standins/poolerrig.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -11,6 +12,15 @@
 
 namespace granitereel::standins {
 
+// What happens to a request on its way to a store, and to the answer.
+struct Fault {
+    bool arrives = true;                    // the store gets the request
+    std::string refusal;                    // the store does not run it and says this error
+    std::optional<std::string> answer;      // said in place of the store's own
+    std::size_t bytes = std::string::npos;  // of the answer that come through
+    bool cut = false;                       // then the connection breaks
+};
+
 class PoolerRig {
 public:
     explicit PoolerRig(int stores = 3, int sync = 1);
@@ -37,14 +47,27 @@
     // Connections of the pooler that were made and are open.
     std::size_t open() const { return lines_.size(); }
     void cutAll(const std::string& store);
+    void cut(int line);
+    std::vector<int> linesTo(const std::string& store) const;
+    // Bytes that a store says of itself, whole lines of them.
+    void storeSays(int line, std::string bytes);
+    // The process stands still: time passes, nothing is heard or done.
+    void freeze(Nanos time) { now += time; }
+    // Asked for each request that arrives; none: no faults.
+    std::function<Fault(const std::string& store, const std::string& request)> fault;
+    // Answers wait until deliver(), also for connections that were given up meanwhile.
+    bool holdsAnswers = false;
+    void deliver();
     // News, as the agent tells it.
     void lead(const std::string& store, bool steady = true);
     void lease(Nanos left);
     void config(std::uint64_t edition, bool bounded = true);
-    void standing(const std::string& store, const std::string& standing, const std::string& role = "");
+    void standing(const std::string& store, const std::string& standing, const std::string& role = "",
+                  const std::string& address = "");
     bool leases = true;  // whether questions for the lease are answered
 
     std::vector<nlohmann::json> toCourier;
+    std::vector<std::string> requests;  // all that reached a store, in order
 
 private:
     struct Line {
@@ -55,6 +78,7 @@
     void carry();
     std::map<int, Line> lines_;
     std::deque<int> opening_;
+    std::deque<std::pair<int, std::string>> heldAnswers_;
     std::map<int, std::string> said_;
     std::set<int> ended_;
     int lastClient_ = 0;
