Split the proxy's state machine by concern

Change: functions moved as they stand into sessions (what clients say), statements (to one final answer), exchange (question and answer on a connection), lines (connections), news (what the agent says) and reads (what makes one safe); pooler.cpp keeps the frame; constants into timing.hpp, two bare times named there.

--- /dev/null
+++ b/src/proxy/news.cpp
@@ -0,0 +1,170 @@
+// What the agent says: the lease, the configuration, the stores and who leads.
+#include <algorithm>
+#include <utility>
+
+#include "proxy/pooler.hpp"
+#include "proxy/timing.hpp"
+
+namespace granitereel::proxy {
+
+void Pooler::agentUp(Nanos now) {
+    begin(now);
+    agent_ = true;
+    askedAt_ = 0;
+    gossip_.join(1);
+    settle();
+}
+
+void Pooler::agentDown() {
+    agent_ = false;
+    gossip_.leave(1);
+    leaseQuestions_.forget();
+}
+
+void Pooler::agentSaid(const Json& message, Nanos now) {
+    begin(now);
+    const std::string kind = message.at("k");
+    if (kind == "news" || kind == "whole?") {
+        gossip_.heard(1, message);
+    } else if (kind == "lease") {
+        const auto asked = leaseQuestions_.answered(message.at("t").get<std::uint64_t>());
+        // Told in microseconds.
+        if (asked) lease_.granted(*asked, message.at("left").get<std::int64_t>() * 1000, message.at("c"));
+    }
+    settle();
+}
+
+void Pooler::news(const std::string& name, const board::Record& record) {
+    if (name == "config") {
+        configNews(record.body);
+    } else if (name.starts_with("store/")) {
+        storeNews(name.substr(6), record.body);
+    } else if (name.starts_with("lead/")) {
+        leadNews(name.substr(5), record.body);
+    } else if (name.starts_with("front/")) {
+        int fronts = 0;
+        gossip_.board().under("front/", [&](auto&, const board::Record& r) { fronts += r.body.is_object(); });
+        fronts_ = std::max(1, fronts);
+        front_.present(fronts_);
+    }
+}
+
+void Pooler::configNews(const Json& body) {
+    // Of what stands on the board only higher versions come here; what was once in force is never gone back
+    // from.
+    configuration_ = configuration::read(body);
+    configured_ = true;
+    for (const configuration::Service& each : configuration_.services)
+        service(each.name).berthCap = each.berthCap;
+    outputs_.push_back(ToLog{"configuration " + std::to_string(configuration_.edition) + " in force"});
+}
+
+Pooler::Service& Pooler::service(const std::string& name) {
+    auto& slot = services_[name];
+    if (!slot) {
+        slot = std::make_unique<Service>();
+        slot->name = name;
+        slot->group = static_cast<int>(services_.size());
+        byGroup_[slot->group] = slot.get();
+    }
+    return *slot;
+}
+
+void Pooler::storeNews(const std::string& id, const Json& body) {
+    auto at = stores_.find(id);
+    if (body.is_null()) {
+        if (at == stores_.end()) return;
+        at->second->gone = true;
+        standing(*at->second);
+        for (const int no : std::set<int>(at->second->idle)) drop(*lines_.at(no));
+        return;
+    }
+    if (at == stores_.end()) {
+        at = stores_.emplace(id, std::make_unique<Store>()).first;
+        at->second->id = id;
+    }
+    Store& store = *at->second;
+    Service& of = service(body.at("service"));
+    const std::string address = body.at("address");
+    if (store.address != address)
+        for (const int no : std::set<int>(store.idle)) drop(*lines_.at(no));
+    store.address = address;
+    store.district = body.value("district", "");
+    store.role = body.value("role", "");
+    store.standing = body.value("standing", "");
+    store.gone = false;
+    store.service = &of;
+    of.stores[id] = &store;
+    if (store.standing == "accepting")
+        store.windingSince = 0;
+    else if (!store.windingSince)
+        store.windingSince = now_;
+    standing(store);
+}
+
+// A primary that winds down leads until its successor does, for as long as it may be used at all.
+void Pooler::standing(Store& store) {
+    Service& of = *store.service;
+    Standing to = store.gone ? Standing::removed : store.windingSince ? Standing::draining : Standing::up;
+    if (to == Standing::draining && of.lead == store.id &&
+        now_ - store.windingSince < millis(settings_.drain_ms - 1500))
+        to = Standing::up;
+    const int zone =
+        districts_.try_emplace(store.district, static_cast<int>(districts_.size())).first->second;
+    front_.listBegins(false);
+    front_.listEntry(store.id, of.group, zone, to, 0, false);
+    front_.listEnds();
+    front_.leads(of.group, of.lead);
+}
+
+void Pooler::leadNews(const std::string& name, const Json& body) {
+    if (!body.is_object()) return;
+    Service& of = service(name);
+    const std::string before = std::exchange(of.lead, body.at("store").get<std::string>());
+    of.term = body.at("term");
+    of.seq = body.at("seq");
+    of.steady = body.at("steady");
+    if (before == of.lead) return;
+    front_.leads(of.group, of.lead);
+    for (auto& [id, store] : of.stores)
+        if (store->windingSince) standing(*store);
+    outputs_.push_back(ToLog{name + " is led by " + of.lead + " in term " + std::to_string(of.term)});
+    // Whatever of ours is open at the old lead ends there: its plain transactions can't go on, and what it
+    // was asked to commit it will not answer for.
+    std::vector<Line*> old;
+    for (auto& [no, line] : lines_)
+        if (line->store->id == before && !before.empty() && line->user && !line->dead) {
+            const Session& s = *line->user;
+            const bool plain = s.tx ? !s.tx->readOnly : s.op && s.op->writes;
+            if (plain) old.push_back(line.get());
+        }
+    for (Line* line : old) {
+        Session* s = line->user;
+        drop(*line);
+        if (s) lost(*s, *line);
+    }
+    // What only waited for a connection there goes to the next lead at once.
+    const auto at = of.stores.find(before);
+    if (at == of.stores.end()) return;
+    for (const int client : std::exchange(at->second->waiting, {})) {
+        const auto who = sessions_.find(client);
+        if (who == sessions_.end() || !who->second->op || who->second->op->store != at->second) continue;
+        Op& op = *who->second->op;
+        report(op.key, op.launches - 1, *at->second, Ending::unsent, op.launchedAt, {}, false);
+    }
+}
+
+int Pooler::share(const Service& of) const {
+    // Some are left to control, which asks stores how they are.
+    return of.berthCap == 0 ? 64 : std::max(1, (of.berthCap - 2) / fronts_);
+}
+
+void Pooler::suspect(Store& store, const char* why) {
+    if (!store.service || store.service->lead != store.id || now_ - store.suspectedAt < silent) return;
+    store.suspectedAt = now_;
+    if (agent_)
+        outputs_.push_back(
+            ToAgent{{{"k", "suspect"}, {"service", store.service->name}, {"store", store.id}, {"why", why}}});
+}
+
+}  // namespace granitereel::proxy
--- /dev/null
+++ b/src/proxy/statements.cpp
@@ -0,0 +1,211 @@
+// A statement that needs a store, from its lane to its one final answer: where Front sends it, and how it
+// ends when no store answers.
+#include <algorithm>
+#include <utility>
+
+#include "proxy/pooler.hpp"
+#include "proxy/timing.hpp"
+
+namespace granitereel::proxy {
+
+namespace {
+using Kind = Statement::Kind;
+}  // namespace
+
+int Pooler::laneOf(const configuration::Route& route, bool writes, bool transaction) {
+    Lane lane;
+    const bool plain = writes;
+    lane.need = plain                                           ? Need::write
+                : route.mode == configuration::Mode::headOffice ? Need::fresh
+                : route.mode == configuration::Mode::ageBounded ? Need::bounded
+                                                                : Need::session;
+    lane.effect = plain || transaction ? Effect::oneShot : Effect::harmless;
+    lane.goalTime = millis(route.target_ms);
+    lane.cutOff = millis(route.deadline_ms);
+    lane.bound = millis(route.staleness_ms);
+    // Only order and ratio count: each step of precedence halves what is earned.
+    lane.gain = 4.0 / double(1 << std::min(route.precedence, 8));
+    lane.lateShare = 0.3;
+    lane.name = std::to_string(static_cast<int>(lane.need)) + "/" +
+                std::to_string(static_cast<int>(lane.effect)) + "/" + std::to_string(route.target_ms) + "/" +
+                std::to_string(route.deadline_ms) + "/" + std::to_string(route.staleness_ms) + "/" +
+                std::to_string(route.precedence);
+    return front_.lane(lane);
+}
+
+void Pooler::run(Session& s, Statement statement) {
+    const configuration::Route* route = s.tx ? &s.tx->route : configuration_.route(s.database);
+    if (!route) return refuse(s, Error::nosuchdb, "no such database any more", s.state);
+    Op op;
+    op.commit = statement.kind == Kind::commit;
+    op.writes = statement.kind == Kind::write;
+    if (statement.kind == Kind::execute) {
+        const auto prepared = s.prepared.find(statement.name);
+        if (prepared == s.prepared.end()) return refuse(s, Error::unknown, "no such name", s.state);
+        op.writes = prepared->second.writes;
+        auto& name = shapeNames_[(op.writes ? "W" : "R") + prepared->second.shape];
+        if (name.empty()) name = "g" + std::to_string(shapeNames_.size());
+        op.prepared = name;
+        op.text = "EXECUTE " + name + " " + statement.thing;
+    } else {
+        op.text = statement.text;
+    }
+    op.came = now_;
+    op.deadline = now_ + millis(route->deadline_ms);
+    op.statement = std::move(statement);
+    s.op = std::move(op);
+    if (s.tx && s.tx->begun) {
+        s.op->line = s.line;
+        s.op->store = s.line->store;
+        return prelude(s, *s.line);
+    }
+    const bool plainTx = s.tx && !s.tx->readOnly;
+    s.op->lane = laneOf(*route, plainTx || s.op->writes, s.tx.has_value());
+    s.op->key = std::to_string(++keyNo_);
+    byKey_[s.op->key] = &s;
+    const Nanos seen = std::max(s.ownAt, now_ - millis(route->staleness_ms));
+    front_.take(s.op->key, s.op->lane, "", millis(route->deadline_ms), service(route->service).group,
+                route->mode == configuration::Mode::own ? std::optional<Nanos>(now_ - seen) : std::nullopt);
+}
+
+void Pooler::launch(const std::string& key, const std::string& store, Nanos) {
+    launches_.emplace_back(key, store);
+}
+
+void Pooler::cancel(const std::string& key, int launchNo) {
+    cancels_.emplace_back(key, launchNo);
+}
+
+void Pooler::probe(const std::string& store) {
+    probes_.push_back(store);
+}
+
+void Pooler::hangUp(const std::string& id) {
+    const auto at = stores_.find(id);
+    if (at != stores_.end() && !at->second->idle.empty()) drop(*lines_.at(*at->second->idle.begin()));
+}
+
+void Pooler::nack(const std::string& key, Nanos) {
+    const auto at = byKey_.find(key);
+    if (at == byKey_.end()) return;
+    Session& s = *at->second;
+    if (!s.op->lastError || entryOf(*s.op->lastError).elsewhere) {
+        s.op->lastError = Error::busy;
+        s.op->lastText = "nothing ran; come back in " + std::to_string(comeBack_ms) + " ms";
+    }
+    answerLast(s);
+}
+
+void Pooler::writeOff(const std::string& key) {
+    const auto at = byKey_.find(key);
+    if (at == byKey_.end()) return;
+    Session& s = *at->second;
+    if (!s.op->lastError) {
+        // A transaction that was not asked to commit is rolled back with its connection.
+        s.op->lastError = s.tx ? Error::aborted : s.op->writes ? Error::indoubt : Error::busy;
+        s.op->lastText = s.tx ? "rolled back" : s.op->writes ? "the outcome is not known" : "no answer";
+    }
+    answerLast(s);
+}
+
+void Pooler::place(Session& s, const std::string& storeId) {
+    Op& op = *s.op;
+    Store& store = *stores_.at(storeId);
+    op.store = &store;
+    op.line = nullptr;
+    op.sent = op.preluding = op.guarded = false;
+    op.lastError.reset();
+    ++op.launches;
+    op.launchedAt = now_;
+    if (Line* line = lineFor(s, store))
+        prelude(s, *line);
+    else
+        store.waiting.push_back(s.client);
+}
+
+void Pooler::report(const std::string& key, int launchNo, Store& store, Ending how, Nanos launchedAt,
+                    std::optional<Nanos> position, bool over) {
+    front_.ended(key, launchNo, store.id, how, now_ - launchedAt, Role::unknown, position, over);
+}
+
+void Pooler::unwait(Session& s) {
+    if (s.op && s.op->store && !s.op->line) std::erase(s.op->store->waiting, s.client);
+}
+
+// The statement's final answer is its last error.
+void Pooler::answerLast(Session& s) {
+    const Error error = *s.op->lastError;
+    const std::string text = s.op->lastText;
+    ++(error == Error::indoubt ? counts_.indoubt : counts_.promised);
+    if (!s.op->key.empty()) byKey_.erase(s.op->key);
+    unwait(s);
+    const bool commit = s.op->commit;
+    s.op.reset();
+    // The store still holds it.
+    if (s.tx && s.line) letGo(*std::exchange(s.line, nullptr));
+    if (s.tx) s.tx->begun = false;
+    if (commit) endTx(s);
+    refuse(s, error, text, s.tx ? 'E' : 'I');
+    woken_.push_back(s.client);
+}
+
+// Nothing is kept of a read, nor of what was not sent; nor of a transaction that was not asked to commit.
+void Pooler::timeOver(Session& s, Line& line) {
+    Op& op = *s.op;
+    if (s.tx || (op.writes && op.sent)) {
+        drop(line);
+        return lost(s, line, Ending::timedOut);
+    }
+    const std::string key = op.key;
+    const int launchNo = op.launches - 1;
+    const Nanos launchedAt = op.launchedAt;
+    op.lastError = Error::busy;
+    op.lastText = "no answer in time; come back in " + std::to_string(comeBack_ms) + " ms";
+    answerLast(s);
+    letGo(line);
+    report(key, launchNo, *line.store, Ending::timedOut, launchedAt, {}, true);
+}
+
+// The connection under a session is gone, and with it whatever the store held for it that was not committed.
+void Pooler::lost(Session& s, Line& line, Ending how) {
+    line.user = nullptr;
+    Store& store = *line.store;
+    if (s.line == &line) s.line = nullptr;
+    if (!s.op || s.op->line != &line) {
+        if (s.tx && s.tx->begun) {
+            s.tx->begun = false;
+            s.state = 'E';
+        }
+        return;
+    }
+    Op& op = *s.op;
+    op.line = nullptr;
+    const std::string key = op.key;
+    const int launchNo = op.launches - 1;
+    if (op.commit && op.sent) {
+        const bool wrote = s.tx->wrote;
+        endTx(s);
+        const Nanos launchedAt = op.launchedAt;
+        byKey_.erase(key);
+        s.op.reset();
+        if (wrote)
+            ++counts_.indoubt, refuse(s, Error::indoubt, "the outcome of the commit is not known", 'I');
+        else
+            ++counts_.promised, refuse(s, Error::aborted, "the connection to the store is gone", 'I');
+        woken_.push_back(s.client);
+        if (!key.empty()) report(key, launchNo, store, how, launchedAt, {}, true);
+        return;
+    }
+    if (s.tx && s.tx->begun) {
+        op.lastError = Error::aborted;
+        op.lastText = "the connection to the store is gone, the transaction is rolled back";
+        const Nanos launchedAt = op.launchedAt;
+        answerLast(s);
+        if (!key.empty()) report(key, launchNo, store, how, launchedAt, {}, true);
+        return;
+    }
+    const bool sent = std::exchange(op.sent, false);
+    report(key, launchNo, store, sent ? how : Ending::unreachable, op.launchedAt, {}, false);
+}
+
+}  // namespace granitereel::proxy
--- /dev/null
+++ b/src/proxy/timing.hpp
@@ -0,0 +1,29 @@
+// Times and limits of the proxy's state machine that no setting gives.
+#pragma once
+
+#include <cstddef>
+
+#include "nanos.hpp"
+
+namespace granitereel::proxy {
+
+// Among tries that nothing ran of: enough to pass a store that lags, one that has lost the lead and one that
+// is full.
+inline constexpr int launchLimit = 8;
+// A client that must come back is told to do so after this.
+inline constexpr int comeBack_ms = 100;
+// Three questions for the lease fit into one.
+inline constexpr Nanos leaseAskEvery = millis(200);
+inline constexpr Nanos sweepEvery = millis(50);
+// A lead that is asked and says nothing for so long is told to control, again after as long.
+inline constexpr Nanos silent = millis(250);
+// A connection that does not open, or whose answer nobody waits for, is given up after this.
+inline constexpr Nanos openingMost = millis(1'500), abandonedMost = millis(4'000);
+// A connection at rest is closed after this.
+inline constexpr Nanos idleLine = millis(25'000);
+// Until the platform has stopped sending new connections: two ready probes a second apart, and some.
+inline constexpr Nanos leftAfter = millis(2'200);
+// Bytes of a session's statements that may wait; beyond, nothing more is read from it.
+inline constexpr std::size_t queuedMost = 1 << 20;
+
+}  // namespace granitereel::proxy
