Proxy: one function a job in place of the long ones

Need: settle, tick, prelude, mainAnswered and leadNews had 50 to 100 lines each, with the same three values of a launch carried along at a dozen places.

Change: each is cut into functions named after what they do; Launched names a launch towards Front.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -29,44 +29,59 @@
     if (!pinned && !safe(s, *line.store, after, op.guarded)) {
         op.line = nullptr;
         idle(line);
-        return report(op.key, op.launches - 1, *line.store, Ending::missed, op.launchedAt, {}, false);
+        return report(launchedOf(op), *line.store, Ending::missed, {}, false);
     }
     op.preluding = true;
     op.after.clear();
-    if (line.values != s.values) {
-        bool reset = false;
-        for (const auto& [name, value] : line.values) reset |= !s.values.count(name);
-        if (reset) {
-            ask(line, "-", "RESET", Part::prelude);
-            line.values.clear();
-            line.prepared.clear();
-        }
-        for (const auto& [name, value] : s.values) {
-            auto& there = line.values[name];
-            if (there == value && !there.empty()) continue;
-            there = value;
-            ask(line, "-", "SET " + name + " " + value, Part::prelude);
-        }
-    }
+    makeValuesRight(s, line);
     if (!op.prepared.empty() && line.prepared.insert(op.prepared).second) {
         const Prepared& shape = s.prepared.at(op.statement.name);
         ask(line, "-", "PARSE " + op.prepared + (shape.writes ? " WRITE " : " READ ") + shape.shape,
             Part::prelude);
     }
-    if (s.tx && !pinned) {
-        if (op.guarded) {
-            ++counts_.guarded;
-            ask(line, "-", "BEGIN", Part::begin);
-        } else {
-            ask(line, s.tx->beginId, after + (s.tx->readOnly ? "BEGIN READ" : "BEGIN"), Part::begin);
-        }
-    } else if (op.guarded) {
+    beginThere(s, line, after);
+    if (line.expects.empty()) sendMain(s, line);
+}
+
+void Pooler::makeValuesRight(const Session& s, Line& line) {
+    if (line.values == s.values) return;
+    bool reset = false;
+    for (const auto& [name, value] : line.values) reset |= !s.values.count(name);
+    if (reset) {
+        ask(line, "-", "RESET", Part::prelude);
+        line.values.clear();
+        line.prepared.clear();
+    }
+    for (const auto& [name, value] : s.values) {
+        auto& there = line.values[name];
+        if (there == value && !there.empty()) continue;
+        there = value;
+        ask(line, "-", "SET " + name + " " + value, Part::prelude);
+    }
+}
+
+// Begins what the statement runs in, behind the position `after`: the session's transaction, or one of our
+// own around a single read that needs proof of the lead. A single statement else goes behind the position
+// itself.
+void Pooler::beginThere(Session& s, Line& line, const std::string& after) {
+    Op& op = *s.op;
+    if (op.guarded) {
         ++counts_.guarded;
-        ask(line, "-", "BEGIN", Part::begin);
-    } else {
+        return ask(line, "-", "BEGIN", Part::begin);
+    }
+    if (!s.tx) {
         op.after = after;
+    } else if (!s.tx->begun) {
+        ask(line, s.tx->beginId, after + (s.tx->readOnly ? "BEGIN READ" : "BEGIN"), Part::begin);
     }
-    if (line.expects.empty()) sendMain(s, line);
+}
+
+void Pooler::countWhere(const Store& store) {
+    const bool near = store.district == settings_.district;
+    if (store.service->lead == store.id)
+        ++(near ? counts_.leadNear : counts_.leadFar);
+    else
+        ++(near ? counts_.replicaNear : counts_.replicaFar);
 }
 
 void Pooler::sendMain(Session& s, Line& line) {
@@ -77,10 +92,7 @@
     op.sent = true;
     if (s.tx && op.writes) s.tx->wrote = true;
     const Service& of = *line.store->service;
-    const bool near = line.store->district == settings_.district;
-    ++(of.lead == line.store->id ? near ? counts_.leadNear : counts_.leadFar
-       : near                    ? counts_.replicaNear
-                                 : counts_.replicaFar);
+    countWhere(*line.store);
     // A store that has lost the lead refuses what it is asked inside a plain transaction, but for the COMMIT
     // of one that wrote nothing.
     const bool refusedWithout = !op.commit && (op.guarded || (s.tx && !s.tx->readOnly));
@@ -91,7 +103,6 @@
 
 void Pooler::answered(Line& line, Part part, const Answer& answer) {
     Session* s = line.user;
-    Store& store = *line.store;
     line.inTx = answer.state != 'I';
     // Its values or names are not as they ought to be, or it still holds what it was to roll back: it serves
     // nobody any more, whoever asked.
@@ -103,23 +114,9 @@
         line.abandonedAt = 0;
         return letGo(line);
     }
-    Op& op = *s->op;
     if (part == Part::main) return mainAnswered(*s, line, answer);
     if (part == Part::begin) {
-        if (answer.error) {
-            const Error error = *answer.error;
-            if (error == Error::lagging) lags(store, answer.mark);
-            op.lastError = error;
-            op.lastText = answer.errorText;
-            op.line = nullptr;
-            op.preluding = false;
-            const std::optional<Nanos> position =
-                answer.mark ? store.service->horizon.holds(*answer.mark) : std::nullopt;
-            letGo(line);
-            return report(op.key, op.launches - 1, store,
-                          error == Error::busy || error == Error::full ? Ending::full : Ending::missed,
-                          op.launchedAt, position, false);
-        }
+        if (answer.error) return beginRefused(*s, line, answer);
         if (s->tx) {
             s->tx->begun = true;
             s->line = &line;
@@ -128,98 +125,132 @@
     if (line.expects.empty()) sendMain(*s, line);
 }
 
-void Pooler::mainAnswered(Session& s, Line& line, const Answer& answer) {
+namespace {
+// What an error that promises that nothing ran says of its store.
+Ending endingOf(Error error) {
+    return error == Error::busy || error == Error::full ? Ending::full : Ending::missed;
+}
+}  // namespace
+
+std::optional<Nanos> Pooler::covers(const Store& store, const Answer& answer) const {
+    return answer.mark ? store.service->horizon.holds(*answer.mark) : std::nullopt;
+}
+
+void Pooler::beginRefused(Session& s, Line& line, const Answer& answer) {
     Op& op = *s.op;
     Store& store = *line.store;
-    Service& of = *store.service;
-    const bool first = !op.key.empty();
+    if (answer.error == Error::lagging) lags(store, answer.mark);
+    op.lastError = answer.error;
+    op.lastText = answer.errorText;
+    op.line = nullptr;
+    op.preluding = false;
+    const std::optional<Nanos> position = covers(store, answer);
+    letGo(line);
+    report(launchedOf(op), store, endingOf(*answer.error), position, false);
+}
+
+void Pooler::mainAnswered(Session& s, Line& line, const Answer& answer) {
+    const Op& op = *s.op;
     const bool done = !answer.error;
-    const std::optional<Mark> mark = answer.mark;
-    const char state = answer.state;
     // Only COMMIT ends a transaction with success.
-    if (done && s.tx && !op.commit && state == 'I') return outOfStep(line);
+    if (done && s.tx && !op.commit && answer.state == 'I') return outOfStep(line);
     if (done && s.tx && op.writes) s.tx->written = true;
-    if (done && mark && (line.proven || op.writes)) of.horizon.saw(*mark, line.askedAt);
-    const std::optional<Nanos> position = !mark ? std::nullopt : of.horizon.holds(*mark);
-    const Error error = answer.error.value_or(Error::other);
-    const std::string& text = answer.errorText;
-    const std::string bytes = done ? answer.rows + answer.done : errorLine(error, text);
-    const ErrorEntry& entry = entryOf(error);
-    const std::string key = op.key;
-    const int launchNo = op.launches - 1;
-    const Nanos launchedAt = op.launchedAt;
-    auto reply = [&](char shown) {
-        s.state = shown;
-        s.restsSince = now_;
-        std::string all = bytes;
-        all.append("READY ").append(1, shown).append(" ").append(mark ? written(*mark) : "-").append("\r\n");
-        outputs_.push_back(ToClient{s.client, std::move(all)});
-        ++(done ? counts_.answered : counts_.promised);
-        if (!key.empty()) byKey_.erase(key);
-        s.op.reset();
-        woken_.push_back(s.client);
-    };
-    if (op.commit) {
-        if (done && s.tx->written && mark) {
-            s.own = *mark;
-            s.ownAt = line.askedAt;
-            of.horizon.saw(*mark, line.askedAt);
-        }
+    if (done && answer.mark && (line.proven || op.writes))
+        line.store->service->horizon.saw(*answer.mark, line.askedAt);
+    if (op.commit) return commitAnswered(s, line, answer);
+    if (!done && !op.key.empty() && entryOf(*answer.error).elsewhere) return notRun(s, line, answer);
+    if (s.tx) return transactionAnswered(s, line, answer);
+    if (done) return singleDone(s, line, answer);
+    singleFailed(s, line, answer);
+}
+
+void Pooler::reply(Session& s, const Answer& answer, char state) {
+    s.state = state;
+    s.restsSince = now_;
+    std::string bytes = answer.error ? errorLine(*answer.error, answer.errorText) : answer.rows + answer.done;
+    bytes.append("READY ").append(1, state).append(" ");
+    bytes.append(answer.mark ? written(*answer.mark) : "-").append("\r\n");
+    outputs_.push_back(ToClient{s.client, std::move(bytes)});
+    ++(answer.error ? counts_.promised : counts_.answered);
+    if (!s.op->key.empty()) byKey_.erase(s.op->key);
+    s.op.reset();
+    woken_.push_back(s.client);
+}
+
+void Pooler::commitAnswered(Session& s, Line& line, const Answer& answer) {
+    Store& store = *line.store;
+    const std::optional<Nanos> position = covers(store, answer);
+    if (!answer.error && s.tx->written && answer.mark) {
+        s.own = *answer.mark;
+        s.ownAt = line.askedAt;
+        store.service->horizon.saw(*answer.mark, line.askedAt);
+    }
+    const Launched launched = launchedOf(*s.op);
+    endTx(s);
+    line.user = nullptr;
+    reply(s, answer, 'I');
+    report(launched, store, answer.error ? Ending::error : Ending::delivered, position, true);
+    letGo(line);
+}
+
+// Nothing ran: another store may do better, or this one later.
+void Pooler::notRun(Session& s, Line& line, const Answer& answer) {
+    Op& op = *s.op;
+    Store& store = *line.store;
+    if (answer.error == Error::lagging) lags(store, answer.mark);
+    if (answer.error == Error::unknown) line.prepared.clear();
+    op.lastError = answer.error;
+    op.lastText = answer.errorText;
+    op.line = nullptr;
+    op.sent = false;
+    if (s.tx) {
+        s.tx->begun = false;
+        s.line = nullptr;
+    }
+    const std::optional<Nanos> position = covers(store, answer);
+    letGo(line);
+    report(launchedOf(op), store, endingOf(*answer.error), position, false);
+}
+
+void Pooler::transactionAnswered(Session& s, Line& line, const Answer& answer) {
+    Store& store = *line.store;
+    const std::optional<Nanos> position = covers(store, answer);
+    const Launched launched = launchedOf(*s.op);
+    const bool ended = answer.state == 'I';  // by the store
+    if (ended) {
         endTx(s);
         line.user = nullptr;
-        reply('I');
-        if (first)
-            report(key, launchNo, store, done ? Ending::delivered : Ending::error, launchedAt, position,
-                   true);
-        return letGo(line);
     }
-    if (!done && first && entry.elsewhere) {
-        // Nothing ran: another store may do better, or this one later.
-        if (error == Error::lagging) lags(store, mark);
-        if (error == Error::unknown) line.prepared.clear();
-        op.lastError = error;
-        op.lastText = text;
-        op.line = nullptr;
-        op.sent = false;
-        if (s.tx) {
-            s.tx->begun = false;
-            s.line = nullptr;
-        }
-        letGo(line);
-        return report(key, launchNo, store,
-                      error == Error::busy || error == Error::full ? Ending::full : Ending::missed,
-                      launchedAt, position, false);
-    }
-    if (s.tx) {
-        if (state == 'I') {  // the store has ended it
-            endTx(s);
-            line.user = nullptr;
-        }
-        const bool ended = state == 'I';
-        reply(state);
-        if (first)
-            report(key, launchNo, store, done ? Ending::delivered : Ending::error, launchedAt, position,
-                   true);
-        if (ended) idle(line);
-        return;
+    reply(s, answer, answer.state);
+    report(launched, store, answer.error ? Ending::error : Ending::delivered, position, true);
+    if (ended) idle(line);
+}
+
+void Pooler::singleDone(Session& s, Line& line, const Answer& answer) {
+    Store& store = *line.store;
+    if (s.op->writes && answer.mark) {
+        s.own = *answer.mark;
+        s.ownAt = line.askedAt;
     }
+    const std::optional<Nanos> position = covers(store, answer);
+    const Launched launched = launchedOf(*s.op);
     line.user = nullptr;
-    if (done) {
-        if (op.writes && mark) {
-            s.own = *mark;
-            s.ownAt = line.askedAt;
-        }
-        reply('I');
-        report(key, launchNo, store, Ending::delivered, launchedAt, position, true);
-        return letGo(line);
-    }
-    op.lastError = error;
-    op.lastText = text;
+    reply(s, answer, 'I');
+    report(launched, store, Ending::delivered, position, true);
+    letGo(line);
+}
+
+// Of a read Front may try again; of a write this is the answer.
+void Pooler::singleFailed(Session& s, Line& line, const Answer& answer) {
+    Op& op = *s.op;
+    Store& store = *line.store;
+    op.lastError = answer.error;
+    op.lastText = answer.errorText;
     op.line = nullptr;
     op.sent = false;
+    const std::optional<Nanos> position = covers(store, answer);
     letGo(line);
-    // Of a read the module may try again; of a write this is the answer.
-    report(key, launchNo, store, Ending::error, launchedAt, position, false);
+    report(launchedOf(op), store, Ending::error, position, false);
 }
 
 }  // namespace granitereel::proxy
--- a/src/proxy/lines.cpp
+++ b/src/proxy/lines.cpp
@@ -184,7 +184,7 @@
         const auto who = sessions_.find(client);
         if (who == sessions_.end() || !who->second->op || who->second->op->store != &store) continue;
         Op& op = *who->second->op;
-        report(op.key, op.launches - 1, store, how, op.launchedAt, {}, false);
+        report(launchedOf(op), store, how, {}, false);
     }
 }
 
--- a/src/proxy/news.cpp
+++ b/src/proxy/news.cpp
@@ -129,29 +129,27 @@
     for (auto& [id, store] : of.stores)
         if (store->windingSince) standing(*store);
     outputs_.push_back(ToLog{name + " is led by " + of.lead + " in term " + std::to_string(of.term)});
-    // Whatever of ours is open at the old lead ends there: its plain transactions can't go on, and what it
-    // was asked to commit it will not answer for.
+    if (!before.empty()) leaveLead(before);
+}
+
+// Whatever of ours is open at a store that led ends there: its plain transactions can't go on, and what it
+// was asked to commit it will not answer for. What only waited for a connection goes to the next lead at
+// once.
+void Pooler::leaveLead(const std::string& storeId) {
     std::vector<Line*> old;
-    for (auto& [no, line] : lines_)
-        if (line->store->id == before && !before.empty() && line->user && !line->dead) {
-            const Session& s = *line->user;
-            const bool plain = s.tx ? !s.tx->readOnly : s.op && s.op->writes;
-            if (plain) old.push_back(line.get());
-        }
+    for (auto& [no, line] : lines_) {
+        if (line->store->id != storeId || !line->user || line->dead) continue;
+        const Session& s = *line->user;
+        const bool plain = s.tx ? !s.tx->readOnly : s.op && s.op->writes;
+        if (plain) old.push_back(line.get());
+    }
     for (Line* line : old) {
         Session* s = line->user;
         drop(*line);
         if (s) lost(*s, *line);
     }
-    // What only waited for a connection there goes to the next lead at once.
-    const auto at = of.stores.find(before);
-    if (at == of.stores.end()) return;
-    for (const int client : std::exchange(at->second->waiting, {})) {
-        const auto who = sessions_.find(client);
-        if (who == sessions_.end() || !who->second->op || who->second->op->store != at->second) continue;
-        Op& op = *who->second->op;
-        report(op.key, op.launches - 1, *at->second, Ending::unsent, op.launchedAt, {}, false);
-    }
+    const auto at = stores_.find(storeId);
+    if (at != stores_.end()) refuseWaiting(*at->second, Ending::unsent);
 }
 
 int Pooler::share(const Service& of) const {
--- a/src/proxy/pooler.cpp
+++ b/src/proxy/pooler.cpp
@@ -44,48 +44,17 @@
 void Pooler::settle() {
     for (;;) {
         if (!cancels_.empty()) {
-            auto [key, no] = std::move(cancels_.front());
+            const auto [key, launchNo] = std::move(cancels_.front());
             cancels_.pop_front();
-            const auto at = byKey_.find(key);
-            if (at == byKey_.end()) continue;
-            Session& s = *at->second;
-            if (!s.op || s.op->launches - 1 != no || !s.op->store) continue;
-            Store& store = *s.op->store;
-            if (Line* line = s.op->line) {
-                letGo(*line);
-            } else {
-                unwait(s);
-            }
-            s.op->line = nullptr;
-            s.op->store = nullptr;
-            s.op->sent = s.op->preluding = false;
-            report(key, no, store, Ending::cancelled, s.op->launchedAt, {}, false);
+            cancelLaunch(key, launchNo);
         } else if (!launches_.empty()) {
-            auto [key, store] = std::move(launches_.front());
+            const auto [key, store] = std::move(launches_.front());
             launches_.pop_front();
-            const auto at = byKey_.find(key);
-            if (at != byKey_.end()) place(*at->second, store);
+            placeLaunch(key, store);
         } else if (!probes_.empty()) {
             const std::string id = std::move(probes_.front());
             probes_.pop_front();
-            const auto at = stores_.find(id);
-            if (at == stores_.end()) {
-                front_.probed(id, Ending::unreachable);
-                continue;
-            }
-            Store& store = *at->second;
-            // Where the module would ask how fresh a replica is: the next read finds out, as it goes behind a
-            // position that the store itself checks. Only one that may be away is tried, by a connection.
-            const bool open = std::any_of(lines_.begin(), lines_.end(), [&](auto& each) {
-                return each.second->store == &store && each.second->open && !each.second->dead;
-            });
-            if (open && now_ - store.suspectedAt > millis(1000)) {
-                if (const auto newest = store.service->horizon.newest()) front_.reported(id, *newest, {});
-                front_.probed(id, Ending::delivered);
-            } else if (!store.probing) {
-                store.probing = true;
-                openLine(store, true);
-            }
+            probeStore(id);
         } else if (!woken_.empty()) {
             const int client = woken_.front();
             woken_.pop_front();
@@ -99,6 +68,45 @@
     buried_.clear();
 }
 
+void Pooler::cancelLaunch(const std::string& key, int launchNo) {
+    const auto at = byKey_.find(key);
+    if (at == byKey_.end()) return;
+    Session& s = *at->second;
+    if (!s.op || s.op->launches - 1 != launchNo || !s.op->store) return;
+    Store& store = *s.op->store;
+    if (s.op->line)
+        letGo(*s.op->line);
+    else
+        unwait(s);
+    s.op->line = nullptr;
+    s.op->store = nullptr;
+    s.op->sent = s.op->preluding = false;
+    report(launchedOf(*s.op), store, Ending::cancelled, {}, false);
+}
+
+void Pooler::placeLaunch(const std::string& key, const std::string& store) {
+    const auto at = byKey_.find(key);
+    if (at != byKey_.end()) place(*at->second, store);
+}
+
+// Where Front would ask how fresh a replica is: the next read finds out, as it goes behind a position that
+// the store itself checks. Only one that may be away is tried, by a connection.
+void Pooler::probeStore(const std::string& id) {
+    const auto at = stores_.find(id);
+    if (at == stores_.end()) return front_.probed(id, Ending::unreachable);
+    Store& store = *at->second;
+    const bool open = std::any_of(lines_.begin(), lines_.end(), [&](auto& each) {
+        return each.second->store == &store && each.second->open && !each.second->dead;
+    });
+    if (open && now_ - store.suspectedAt > millis(1000)) {
+        if (const auto newest = store.service->horizon.newest()) front_.reported(id, *newest, {});
+        front_.probed(id, Ending::delivered);
+    } else if (!store.probing) {
+        store.probing = true;
+        openLine(store, true);
+    }
+}
+
 bool Pooler::ready() const {
     return configured_ && !stores_.empty() && !leaving_;
 }
@@ -111,10 +119,7 @@
 
 void Pooler::tick(Nanos now) {
     begin(now);
-    if (agent_ && now - askedAt_ >= leaseAskEvery) {
-        askedAt_ = now;
-        outputs_.push_back(ToAgent{{{"k", "lease?"}, {"t", leaseQuestions_.ask(now)}}});
-    }
+    askForLease();
     if (now >= wakeAt_) front_.woke(0);
     settle();
     if (now - sweptAt_ < sweepEvery) return;
@@ -122,67 +127,79 @@
     std::vector<Line*> all;
     for (auto& [no, line] : lines_)
         if (!line->dead) all.push_back(line.get());
-    for (Line* line : all) {
-        if (line->dead) continue;
-        Store& store = *line->store;
-        if (!line->expects.empty() && now - std::max(line->askedAt, store.heard) > silent)
-            suspect(store, "silent");
-        if (!line->open && now - line->askedAt > openingMost) {
-            outputs_.push_back(CloseLine{line->no});
-            ended(*line, false);
-            continue;
-        }
-        if (line->abandonedAt && now - line->abandonedAt > abandonedMost) {
-            drop(*line);
-            continue;
-        }
-        if (!line->user && line->expects.empty() && line->open && now - line->usedAt > idleLine) drop(*line);
-        Session* s = line->user;
-        if (!s) continue;
-        if (!s->op && s->tx && s->tx->begun) {
-            const bool rests =
-                configuration_.txIdle_ms > 0 && now - s->restsSince > millis(configuration_.txIdle_ms);
-            if (rests || (leaving_ && now - leftAt_ > millis(settings_.grace_ms / 2))) {
-                release(*line, "-");
-                s->line = nullptr;
-                s->tx->begun = false;
-                s->state = 'E';
-            }
-        } else if (s->op && s->op->line == line && now >= s->op->deadline) {
-            timeOver(*s, *line);
-        }
+    for (Line* line : all)
+        if (!line->dead) sweepLine(*line);
+    refuseLate();
+    for (auto& [name, of] : services_) {
+        const auto lead = of->stores.find(of->lead);
+        if (lead != of->stores.end() && lead->second->windingSince) standing(*lead->second);
+    }
+    if (leaving_ && now - leftAt_ > leftAfter) endLeaving();
+    settle();
+}
+
+void Pooler::askForLease() {
+    if (!agent_ || now_ - askedAt_ < leaseAskEvery) return;
+    askedAt_ = now_;
+    outputs_.push_back(ToAgent{{{"k", "lease?"}, {"t", leaseQuestions_.ask(now_)}}});
+}
+
+void Pooler::sweepLine(Line& line) {
+    if (!line.expects.empty() && now_ - std::max(line.askedAt, line.store->heard) > silent)
+        suspect(*line.store, "silent");
+    if (!line.open && now_ - line.askedAt > openingMost) {
+        outputs_.push_back(CloseLine{line.no});
+        return ended(line, false);
     }
-    // What waits for a connection past its time.
+    if (line.abandonedAt && now_ - line.abandonedAt > abandonedMost) return drop(line);
+    if (!line.user && line.expects.empty() && line.open && now_ - line.usedAt > idleLine) drop(line);
+    Session* s = line.user;
+    if (!s) return;
+    if (!s->op)
+        endRest(*s, line);
+    else if (s->op->line == &line && now_ >= s->op->deadline)
+        timeOver(*s, line);
+}
+
+// Rolls back a transaction that rests for too long, or past the first half of the time to end.
+void Pooler::endRest(Session& s, Line& line) {
+    if (!s.tx || !s.tx->begun) return;
+    const bool rests = configuration_.txIdle_ms > 0 && now_ - s.restsSince > millis(configuration_.txIdle_ms);
+    const bool ends = leaving_ && now_ - leftAt_ > millis(settings_.grace_ms / 2);
+    if (!rests && !ends) return;
+    release(line, "-");
+    s.line = nullptr;
+    s.tx->begun = false;
+    s.state = 'E';
+}
+
+// What waits for a connection past its time is told so.
+void Pooler::refuseLate() {
     std::vector<Session*> late;
     for (auto& [key, s] : byKey_)
-        if (s->op && s->op->store && !s->op->line && now >= s->op->deadline) late.push_back(s);
+        if (s->op && s->op->store && !s->op->line && now_ >= s->op->deadline) late.push_back(s);
     for (Session* s : late) {
-        const std::string key = s->op->key;
-        const int launchNo = s->op->launches - 1;
-        const Nanos launchedAt = s->op->launchedAt;
+        const Launched launched = launchedOf(*s->op);
         Store& store = *s->op->store;
         s->op->lastError = Error::busy;
         s->op->lastText = "no connection; come back in " + std::to_string(comeBack_ms) + " ms";
         answerLast(*s);
-        report(key, launchNo, store, Ending::unsent, launchedAt, {}, true);
+        report(launched, store, Ending::unsent, {}, true);
     }
-    for (auto& [name, of] : services_) {
-        const auto lead = of->stores.find(of->lead);
-        if (lead != of->stores.end() && lead->second->windingSince) standing(*lead->second);
+}
+
+// Ends sessions at rest, and all of them shortly before the time to end is over.
+void Pooler::endLeaving() {
+    const bool all = now_ - leftAt_ > millis(settings_.grace_ms - 500);
+    std::vector<int> rest;
+    for (auto& [client, s] : sessions_) {
+        const bool atRest = !s->op && ((s->state == 'I' && s->queue.empty()) || s->state == 'E');
+        if (atRest || all) rest.push_back(client);
     }
-    if (leaving_ && now - leftAt_ > leftAfter) {
-        std::vector<int> rest;
-        for (auto& [client, s] : sessions_) {
-            const bool old = now - leftAt_ > millis(settings_.grace_ms - 500);
-            if ((s->state == 'I' && !s->op && s->queue.empty()) || (s->state == 'E' && !s->op) || old)
-                rest.push_back(client);
-        }
-        for (const int client : rest) {
-            outputs_.push_back(EndClient{client});
-            remove(client);
-        }
+    for (const int client : rest) {
+        outputs_.push_back(EndClient{client});
+        remove(client);
     }
-    settle();
 }
 
 }  // namespace granitereel::proxy
--- a/src/proxy/pooler.hpp
+++ b/src/proxy/pooler.hpp
@@ -147,6 +147,12 @@
         std::optional<Error> lastError;
         std::string lastText;
     };
+    // One launch of a statement, as Front knows it; without a key it does not.
+    struct Launched {
+        std::string key;
+        int number = 0;
+        Nanos at = 0;
+    };
     struct Tx {
         Tx() {}  // clang wants it before the class around it is whole
         bool readOnly = false, begun = false;
@@ -187,9 +193,18 @@
 
     void begin(Nanos now);
     void settle();
+    void cancelLaunch(const std::string& key, int launchNo);
+    void placeLaunch(const std::string& key, const std::string& store);
+    void probeStore(const std::string& id);
+    void askForLease();
+    void sweepLine(Line& line);
+    void endRest(Session& s, Line& line);
+    void refuseLate();
+    void endLeaving();
     void news(const std::string& name, const board::Record& record);
     void storeNews(const std::string& id, const Json& body);
     void leadNews(const std::string& service, const Json& body);
+    void leaveLead(const std::string& storeId);
     void configNews(const Json& body);
     Service& service(const std::string& name);
     void standing(Store& store);
@@ -205,19 +220,33 @@
     Line* lineFor(Session& s, Store& store);
     void openLine(Store& store, bool probe);
     void prelude(Session& s, Line& line);
+    void makeValuesRight(const Session& s, Line& line);
+    void beginThere(Session& s, Line& line, const std::string& after);
+    void countWhere(const Store& store);
     void sendMain(Session& s, Line& line);
     bool safe(Session& s, Store& store, std::string& after, bool& guarded);
     void greeted(Line& line, std::string_view text);
     void answered(Line& line, Part part, const Answer& answer);
+    void beginRefused(Session& s, Line& line, const Answer& answer);
     void mainAnswered(Session& s, Line& line, const Answer& answer);
+    void commitAnswered(Session& s, Line& line, const Answer& answer);
+    void notRun(Session& s, Line& line, const Answer& answer);
+    void transactionAnswered(Session& s, Line& line, const Answer& answer);
+    void singleDone(Session& s, Line& line, const Answer& answer);
+    void singleFailed(Session& s, Line& line, const Answer& answer);
+    // The store's answer as the statement's final one.
+    void reply(Session& s, const Answer& answer, char state);
+    // The moment up to which an answer's position is known to cover all commits.
+    std::optional<Nanos> covers(const Store& store, const Answer& answer) const;
     // The connection's answers can't be matched to its questions any more.
     void outOfStep(Line& line);
     // What the line was asked for interests nobody any more; it serves others once it has answered.
     void letGo(Line& line);
     // The deadline of the session's statement, which is at that line, has passed.
     void timeOver(Session& s, Line& line);
-    void report(const std::string& key, int launchNo, Store& store, Ending how, Nanos launchedAt,
-                std::optional<Nanos> position, bool over);
+    static Launched launchedOf(const Op& op) { return {op.key, op.launches - 1, op.launchedAt}; }
+    // Tells Front how a launch ended, and whether the statement has had its final answer.
+    void report(const Launched& launched, Store& store, Ending how, std::optional<Nanos> position, bool over);
     void lags(Store& store, std::optional<Mark> mark);
     void release(Line& line, const std::string& abortId);
     void idle(Line& line);
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -50,13 +50,12 @@
     s.gone = true;
     if (s.op) {
         if (!s.op->key.empty()) {
-            Store* store = s.op->store;
-            const std::string key = s.op->key;
-            byKey_.erase(key);
-            if (store)
-                report(key, s.op->launches - 1, *store, Ending::cancelled, s.op->launchedAt, {}, true);
+            const Launched launched = launchedOf(*s.op);
+            byKey_.erase(launched.key);
+            if (s.op->store)
+                report(launched, *s.op->store, Ending::cancelled, {}, true);
             else
-                front_.lapsed(key);
+                front_.lapsed(launched.key);
         }
         unwait(s);
         if (s.op->line) letGo(*s.op->line);
--- a/src/proxy/statements.cpp
+++ b/src/proxy/statements.cpp
@@ -123,9 +123,11 @@
         store.waiting.push_back(s.client);
 }
 
-void Pooler::report(const std::string& key, int launchNo, Store& store, Ending how, Nanos launchedAt,
-                    std::optional<Nanos> position, bool over) {
-    front_.ended(key, launchNo, store.id, how, now_ - launchedAt, Role::unknown, position, over);
+void Pooler::report(const Launched& launched, Store& store, Ending how, std::optional<Nanos> position,
+                    bool over) {
+    if (launched.key.empty()) return;
+    front_.ended(launched.key, launched.number, store.id, how, now_ - launched.at, Role::unknown, position,
+                 over);
 }
 
 void Pooler::unwait(Session& s) {
@@ -156,14 +158,12 @@
         drop(line);
         return lost(s, line, Ending::timedOut);
     }
-    const std::string key = op.key;
-    const int launchNo = op.launches - 1;
-    const Nanos launchedAt = op.launchedAt;
+    const Launched launched = launchedOf(op);
     op.lastError = Error::busy;
     op.lastText = "no answer in time; come back in " + std::to_string(comeBack_ms) + " ms";
     answerLast(s);
     letGo(line);
-    report(key, launchNo, *line.store, Ending::timedOut, launchedAt, {}, true);
+    report(launched, *line.store, Ending::timedOut, {}, true);
 }
 
 // The connection under a session is gone, and with it whatever the store held for it that was not committed.
@@ -180,32 +180,29 @@
     }
     Op& op = *s.op;
     op.line = nullptr;
-    const std::string key = op.key;
-    const int launchNo = op.launches - 1;
+    const Launched launched = launchedOf(op);
     if (op.commit && op.sent) {
         const bool wrote = s.tx->wrote;
         endTx(s);
-        const Nanos launchedAt = op.launchedAt;
-        byKey_.erase(key);
+        byKey_.erase(launched.key);
         s.op.reset();
         if (wrote)
             ++counts_.indoubt, refuse(s, Error::indoubt, "the outcome of the commit is not known", 'I');
         else
             ++counts_.promised, refuse(s, Error::aborted, "the connection to the store is gone", 'I');
         woken_.push_back(s.client);
-        if (!key.empty()) report(key, launchNo, store, how, launchedAt, {}, true);
+        report(launched, store, how, {}, true);
         return;
     }
     if (s.tx && s.tx->begun) {
         op.lastError = Error::aborted;
         op.lastText = "the connection to the store is gone, the transaction is rolled back";
-        const Nanos launchedAt = op.launchedAt;
         answerLast(s);
-        if (!key.empty()) report(key, launchNo, store, how, launchedAt, {}, true);
+        report(launched, store, how, {}, true);
         return;
     }
     const bool sent = std::exchange(op.sent, false);
-    report(key, launchNo, store, sent ? how : Ending::unreachable, op.launchedAt, {}, false);
+    report(launched, store, sent ? how : Ending::unreachable, {}, false);
 }
 
 }  // namespace granitereel::proxy
