--- a/tests/system/proxy_calls.cpp
+++ b/tests/system/proxy_calls.cpp
@@ -403,6 +403,29 @@
         }
 }
 
+TEST(ProxyCalls, AtSigtermATransactionHasHalfOfTheTimeToEnd) {
+    PoolerRig rig;  // grace_ms is 6,000
+    const int rests = opened(rig), works = opened(rig);
+    for (const int c : {rests, works}) {
+        const std::string name = std::to_string(c);
+        rig.ask(c, "QUERY b" + name + " BEGIN");
+        rig.ask(c, "QUERY w" + name + " WRITE x 1");
+    }
+    rig.pooler->leave(rig.now);
+    rig.run(millis(1500));
+    rig.ask(rests, "QUERY r1 READ x");  // so that it isn't ended for resting too long
+    rig.run(millis(1400));
+    rig.say(works, "QUERY r2 READ x");  // before the half is over, and so it keeps its connection
+    rig.run(millis(50));
+    EXPECT_EQ(state(rig.told(works)), "T");
+    EXPECT_EQ(first(rig.ask(works, "QUERY c2 COMMIT")).substr(0, 4), "DONE");
+    EXPECT_FALSE(rig.ended(rests));
+    rig.run(millis(200));
+    EXPECT_TRUE(rig.ended(rests));
+    EXPECT_EQ(rig.databases.effects("w" + std::to_string(rests)), 0);
+    EXPECT_EQ(rig.databases.effects("w" + std::to_string(works)), 1);
+}
+
 // ---- a proxy that stood still, and its lease ------------------------------------------------------
 
 TEST(ProxyCalls, AfterAFreezeNothingIsReadUnderAnOldLease) {
