--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -105,8 +105,10 @@
     for (const auto& [member, since] : presentSince_) {
         if (core_.voters.count(member) || !inReach(member, now)) continue;
         const auto standing = standing_.find(member);
-        if (standing != standing_.end() && (standing->second.leaving || standing->second.recovering))
-            continue;
+        const bool known = standing != standing_.end();
+        if (known && standing->second.leaving) continue;
+        // It reads the state before it may vote: who leaves waits for it, who changes the voters does not.
+        if (known && standing->second.recovering && newcomers == Newcomers::settled) continue;
         if (newcomers == Newcomers::all || now - since >= times_.settle) bySince.emplace_back(since, member);
     }
     std::sort(bySince.begin(), bySince.end());
