Members and agents count what they send by kind of message, and say it once a minute

Need: nothing told what the bytes between zones were for. Change: transport::Traffic, one line of counters a minute and at the end; Link::send returns the bytes on the wire. Measured: granitereel-system builds without warnings; no test covers the line.

--- a/src/agent/program.cpp
+++ b/src/agent/program.cpp
@@ -7,6 +7,7 @@
 #include "agent/agent.hpp"
 #include "transport/link.hpp"
 #include "transport/steady.hpp"
+#include "transport/traffic.hpp"
 
 namespace granitereel::agent {
 
@@ -36,6 +37,7 @@
         listen();
         tick();
         loop_.run();
+        spdlog::info("sent: {}", traffic_.line());
         return 0;
     }
 
@@ -75,6 +77,7 @@
             }
         }
         agent_.tick(now);
+        if (traffic_.due(now)) spdlog::info("sent: {}", traffic_.line());
         carryOut();
         ticker_.expires_after(std::chrono::milliseconds(100));
         ticker_.async_wait([this](boost::system::error_code ec) {
@@ -138,7 +141,7 @@
         for (auto said = agent_.take(); !said.empty(); said = agent_.take())
             for (auto& [no, message] : said) {
                 const auto at = links_.find(no);
-                if (at != links_.end()) at->second->send(message);
+                if (at != links_.end()) traffic_.sent(message.at("k"), at->second->send(message));
             }
     }
 
@@ -149,6 +152,7 @@
     asio::steady_timer ticker_;
     asio::signal_set signals_;
     std::map<int, std::shared_ptr<Link>> links_;
+    transport::Traffic traffic_;
     int lastLink_ = 0, up_ = 0;
     std::size_t tries_ = 0;
     int dialling_ = 0;
--- a/src/control/program.cpp
+++ b/src/control/program.cpp
@@ -11,6 +11,7 @@
 #include "transport/link.hpp"
 #include "transport/steady.hpp"
 #include "transport/store_call.hpp"
+#include "transport/traffic.hpp"
 
 namespace granitereel::control {
 
@@ -43,6 +44,7 @@
         tick();
         spdlog::info("control serves at {}", settings_.controlAddress);
         loop_.run();
+        spdlog::info("sent: {}", traffic_.line());
         return 0;
     }
 
@@ -79,6 +81,7 @@
         const Nanos now = transport::steadyNow();
         dial(now);
         member_.tick(now);
+        if (traffic_.due(now)) spdlog::info("sent: {}", traffic_.line());
         carryOut();
         ticker_.expires_after(std::chrono::milliseconds(50));
         ticker_.async_wait([this](boost::system::error_code ec) {
@@ -131,7 +134,7 @@
     }
     void carry(ToLink& out) {
         const auto at = links_.find(out.link);
-        if (at != links_.end()) at->second->send(out.message);
+        if (at != links_.end()) traffic_.sent(out.message.at("k"), at->second->send(out.message));
     }
     void carry(ToDisk& out) { disk_.write(out.name, out.body); }
     void carry(ToCaller& out) {
@@ -171,6 +174,7 @@
     asio::steady_timer ticker_;
     asio::signal_set signals_;
     std::map<int, std::shared_ptr<Link>> links_;
+    transport::Traffic traffic_;
     std::map<std::string, Dialled> dialled_;
     int lastLink_ = 0;
     transport::Listener listener_;
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -11,8 +11,10 @@
     return message.dump() + "\n";
 }
 
-void Link::send(const Json& message) {
-    stream_->send(lineOf(message));
+std::size_t Link::send(const Json& message) {
+    const std::string line = lineOf(message);
+    stream_->send(line);
+    return line.size();
 }
 
 void Link::start(OnMessage onMessage, OnEnd onEnd) {
--- a/src/transport/link.hpp
+++ b/src/transport/link.hpp
@@ -21,7 +21,8 @@
 
     // The handlers may destroy the link only by way of `onEnd` or later than within `onMessage`.
     void start(OnMessage onMessage, OnEnd onEnd);
-    void send(const Json& message);
+    // Returns its bytes on the wire.
+    std::size_t send(const Json& message);
     // As it is on the wire; for what goes to many.
     void sendLine(std::string_view line) { stream_->send(line); }
     std::size_t unsent() const { return stream_->unsent(); }
