Changes cross each pair of members once, and configurations as true differences

Change: board::difference aligns array elements by their label. Gossip knows the peer of a link: changes go over the accepted link, over the dialled one while there is no live accepted one (its exchange then begins again), never back.

--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -1,5 +1,7 @@
 #include "board/board.hpp"
 
+#include "board/difference.hpp"
+
 namespace granitereel::board {
 
 bool Board::put(const std::string& name, Record record) {
@@ -18,7 +20,7 @@
     if (!was.is_object() || !now.is_object()) return nullptr;
     const std::size_t whole = now.dump().size();
     if (whole < 1024) return nullptr;
-    Json patch = Json::diff(was, now);
+    Json patch = difference(was, now);
     return patch.dump().size() < whole / 2 ? patch : Json();
 }
 
--- a/src/board/gossip.cpp
+++ b/src/board/gossip.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 // An exchange in which nothing has come for so long is begun again: above the time of a piece on a slow link.
+// An accepted link on which nothing has come for so long, though members ask for leases five times a second,
+// is no way to its peer any more.
+constexpr Nanos silentAfter = millis(2'000);
 constexpr Nanos exchangeAgain = millis(3'000);
 // How often tombstones are looked through.
 constexpr Nanos sweepEvery = millis(1'000);
@@ -38,6 +41,7 @@
         const Record* record = board_.find(name);
         if (record && record->body.is_null()) board_.forget(name);
     }
+    chooseCarriers();
     for (auto& [number, link] : links_) {
         if ((!link.awaiting && link.wants.empty()) || now - link.heardAt < exchangeAgain) continue;
         link.heardAt = now;
@@ -71,14 +75,43 @@
 
 // ---- a new link -----------------------------------------------------------------------------------
 
-void Gossip::join(int number, Side side) {
+void Gossip::join(int number, Side side, const std::string& peer) {
     Link& link = links_[number];
     link = {};
     link.side = side;
-    link.heardAt = now_;
+    link.peer = peer;
+    link.heardAt = link.aliveAt = now_;
+    chooseCarriers();
     if (side == Side::dialler) beginExchange(number);
 }
 
+void Gossip::leave(int number) {
+    links_.erase(number);
+    chooseCarriers();
+}
+
+void Gossip::alive(int number) {
+    const auto at = links_.find(number);
+    if (at != links_.end()) at->second.aliveAt = now_;
+}
+
+bool Gossip::acceptedFrom(const std::string& peer) const {
+    if (peer.empty()) return false;
+    return std::any_of(links_.begin(), links_.end(), [&](const auto& each) {
+        const Link& link = each.second;
+        return link.side == Side::acceptor && link.peer == peer && now_ - link.aliveAt < silentAfter;
+    });
+}
+
+// A dialled link that begins to carry changes may have missed some: its exchange is begun again.
+void Gossip::chooseCarriers() {
+    for (auto& [number, link] : links_) {
+        if (link.side != Side::dialler) continue;
+        const bool carried = std::exchange(link.carries, !acceptedFrom(link.peer));
+        if (link.carries && !carried) beginExchange(number);
+    }
+}
+
 void Gossip::beginExchange(int number) {
     Link& link = links_.at(number);
     link.awaiting = true;
@@ -162,7 +195,8 @@
         const Version mine = standing(name);
         if (mine < version) wanted.push_back({name, mine});
     }
-    sendRecords(number, lacking);
+    // A peer that asks over a link of its own gets there what it lacks.
+    if (link.carries) sendRecords(number, lacking);
     link.awaiting = false;
     if (link.side == Side::dialler) {
         // Also where nothing is wanted: it tells the peer that what it lacked was sent.
@@ -294,8 +328,12 @@
     News news;
     news.records.push_back(update);
     const Json message = news.toJson();
-    for (const auto& [number, link] : links_)
-        if (number != from) send_(number, message);
+    const auto origin = links_.find(from);
+    const std::string teller = origin == links_.end() ? std::string() : origin->second.peer;
+    for (const auto& [number, link] : links_) {
+        const bool back = number == from || (!teller.empty() && link.peer == teller);
+        if (link.carries && !back) send_(number, message);
+    }
 }
 
 void Gossip::own(const std::string& name, const Json& body) {
@@ -308,7 +346,7 @@
 void Gossip::heard(int number, const Json& message) {
     const auto at = links_.find(number);
     const std::string kind = message.at("k");
-    if (at != links_.end()) at->second.heardAt = now_;
+    if (at != links_.end()) at->second.heardAt = at->second.aliveAt = now_;
     if (kind == News::kind || kind == News::kindOfAnswer) return take(number, News::fromJson(message));
     if (at == links_.end()) return;
     if (kind == Digest::kind) return take(number, Digest::fromJson(message));
--- a/src/board/gossip.hpp
+++ b/src/board/gossip.hpp
@@ -36,8 +36,13 @@
     // Time passes. `inContact`: this process holds a lease of control. To be called before what happens at
     // `now` is handled, and now and then. Ends tombstones, and begins exchanges again that came to nothing.
     void advance(Nanos now, bool inContact);
-    void join(int link, Side side);
-    void leave(int link) { links_.erase(link); }
+    // `peer`: the process at the other end, where two may hold links to each other both ways; else empty.
+    // Changes go to a peer over the accepted link, on which it asks for leases, and over the dialled one only
+    // while there is no other; and never back to the peer that told them.
+    void join(int link, Side side, const std::string& peer = {});
+    void leave(int link);
+    // Something that is no message of boards came over the link: it lives.
+    void alive(int link);
     // Whether all that the peer of this link held when it sent what comes next is on this board.
     bool complete(int link) const;
     // A record of this process's own, or one heard over `from`; whether it was news.
@@ -53,15 +58,20 @@
 private:
     struct Link {
         Side side = Side::dialler;
+        std::string peer;
+        bool carries = true;  // whether changes go over it
         // Whether the records that the peer holds at the exchange are still to come.
         bool awaiting = true;
         std::uint64_t exchange = 0;
         std::map<std::string, Version> listed;  // of an inventory in pieces
         std::map<std::uint64_t, std::set<std::string>> wants;
-        Nanos heardAt = 0;
+        Nanos heardAt = 0;  // a message of boards
+        Nanos aliveAt = 0;  // any message
     };
 
     void beginExchange(int link);
+    void chooseCarriers();
+    bool acceptedFrom(const std::string& peer) const;
     void take(int link, const News& news);
     void take(int link, const Digest& digest);
     void take(int link, const Inventory& piece);
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -93,7 +93,7 @@
                 {"member", self_},
                 {"station", settings_.station},
                 {"incarnation", incarnation_}});
-    gossip_.join(link, board::Side::dialler);
+    gossip_.join(link, board::Side::dialler, dialled);
     proposer_.reached(dialled);
     flushProposer(now_);
 }
@@ -149,6 +149,7 @@
 void ControlMember::heard(int link, const Json& message, Nanos now) {
     now_ = now;
     gossip_.advance(now, now < leaseUntil_);
+    gossip_.alive(link);
     take(link, message, now);
     flushProposer(now);
 }
@@ -178,7 +179,7 @@
                         {"incarnation", incarnation_},
                         {"epoch", core_.epoch},
                         {"voters", core_.voters}});
-            gossip_.join(link, board::Side::acceptor);
+            gossip_.join(link, board::Side::acceptor, peer.member);
         } else if (const std::uint64_t epoch = message.value("epoch", std::uint64_t(0));
                    epoch > core_.epoch) {
             Core core{epoch, message.at("voters").get<std::set<std::string>>()};
--- a/standins/gossip_world.hpp
+++ b/standins/gossip_world.hpp
@@ -59,14 +59,14 @@
         wire->second.packets.push_back({std::move(message), versionsOf(at(node).board())});
     }
     // Returns the dialler's link.
-    int connect(int dialler, int acceptor) {
+    int connect(int dialler, int acceptor, bool named = false) {
         const int a = ++lastLink, b = ++lastLink;
         wires[a] = {dialler, acceptor, b, {}};
         wires[b] = {acceptor, dialler, a, {}};
         sides[a] = board::Side::dialler;
         sides[b] = board::Side::acceptor;
-        at(acceptor).join(b, board::Side::acceptor);
-        at(dialler).join(a, board::Side::dialler);
+        at(acceptor).join(b, board::Side::acceptor, named ? std::to_string(dialler) : "");
+        at(dialler).join(a, board::Side::dialler, named ? std::to_string(acceptor) : "");
         return a;
     }
     void cut(int link) {
--- a/tests/system/gossip.cpp
+++ b/tests/system/gossip.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "agent/agent.hpp"
+#include "board/difference.hpp"
 #include "standins/control_world.hpp"
 #include "standins/gossip_world.hpp"
 
@@ -102,6 +103,47 @@
     }
 }
 
+// One route put in at any place, taken out or moved costs that route. All shapes by chance: the patch leads
+// to the second value.
+TEST(Difference, IsShortWhereARouteComesGoesOrMoves) {
+    for (int place = 0; place < 300; place += 13) {
+        const Json was = configOf(1, 300);
+        Json more = was, fewer = was, moved = was;
+        Json route = was["itineraries"][0];
+        route["label"] = "another";
+        more["itineraries"].insert(more["itineraries"].begin() + place, route);
+        fewer["itineraries"].erase(static_cast<std::size_t>(place));
+        moved["itineraries"].erase(static_cast<std::size_t>(place));
+        moved["itineraries"].push_back(was["itineraries"][static_cast<std::size_t>(place)]);
+        for (const Json& now : {more, fewer, moved}) {
+            const Json patch = board::difference(was, now);
+            EXPECT_EQ(was.patch(patch), now) << place;
+            EXPECT_LT(patch.dump().size(), 400u) << place;
+        }
+    }
+    std::mt19937 chance(7);
+    const auto value = [&](auto&& self, int depth) -> Json {
+        const auto kind = chance() % (depth > 2 ? 3 : 5);
+        if (kind == 0) return static_cast<int>(chance() % 3);
+        if (kind == 1) return chance() % 2 ? Json("a/b~c") : Json(nullptr);
+        if (kind == 2)
+            return Json{{"label", std::to_string(chance() % 4)}, {"x", static_cast<int>(chance() % 2)}};
+        Json all = kind == 3 ? Json::array() : Json::object();
+        for (auto n = chance() % 5; n > 0; --n) {
+            if (kind == 3)
+                all.push_back(self(self, depth + 1));
+            else
+                all[chance() % 2 ? "k" + std::to_string(n) : "~/" + std::to_string(n)] =
+                    self(self, depth + 1);
+        }
+        return all;
+    };
+    for (int i = 0; i < 3000; ++i) {
+        const Json was = value(value, 0), now = value(value, 0);
+        ASSERT_EQ(was.patch(board::difference(was, now)), now) << was << now;
+    }
+}
+
 // Every order in which the messages of both directions may arrive, with a change made at each side and a
 // patch that doesn't apply on the way.
 void everyOrder(const std::vector<int>& order, int& ends, int& broken) {
@@ -213,7 +255,7 @@
         for (int step = 0; step < 600; ++step) {
             const int one = 1 + static_cast<int>(chance() % 5), other = 1 + static_cast<int>(chance() % 5);
             const auto what = chance() % 20;
-            if (what == 0 && one != other) world.connect(one, other);
+            if (what == 0 && one != other) world.connect(one, other, seed % 2 == 0);
             if (what == 1 && !world.wires.empty()) world.cut(world.wires.begin()->first);
             if (what == 2) world.at(one).put(storeName(chance() % 60), {{++version, 0}, storeBody(one)});
             if (what == 3) world.at(one).put(storeName(chance() % 60), {{++version, 0}, nullptr});
@@ -232,6 +274,32 @@
     }
 }
 
+// Members hold links to each other both ways. A change crosses each pair once in each direction at most, and
+// goes on by the link that is left.
+TEST(Boards, TellAChangeOnceWhereLinksGoBothWays) {
+    GossipWorld world;
+    for (const int node : {1, 2, 3}) world.start(node);
+    std::map<std::pair<int, int>, int> links;
+    for (const int one : {1, 2, 3})
+        for (const int other : {1, 2, 3})
+            if (one != other) links[{one, other}] = world.connect(one, other, true);
+    world.settle();
+    world.resetCounts();
+    world.at(1).put("store/a", {{1, 0}, storeBody(1)});
+    world.settle();
+    EXPECT_LE(world.messages, 4u);
+    EXPECT_TRUE(world.equal(1, 2) && world.equal(1, 3));
+    // Lost with the link that it went by, it comes over the one that is left.
+    for (const int one : {1, 3})
+        for (const int other : {1, 3})
+            if (one != other) world.cut(links[{one, other}]);
+    world.at(1).put("store/b", {{1, 0}, storeBody(2)});
+    world.cut(links[{2, 1}]);
+    world.settle();
+    EXPECT_TRUE(world.equal(1, 2) && world.equal(1, 3));
+    EXPECT_EQ(world.brokenPromises, 0);
+}
+
 // ---- how records end ------------------------------------------------------------------------------
 
 constexpr Nanos minute = millis(60'000);
@@ -292,6 +360,35 @@
         }
 }
 
+// Each process without contact tells the next shortly before it would doubt what it holds.
+TEST(Tombstones, HoldAgainstAChainOfProcessesWithoutContact) {
+    GossipWorld world;
+    world.start(0);
+    world.at(0).put("store/dead", {{1, 0}, storeBody(1)});
+    world.start(1);
+    world.connect(1, 0);
+    world.settle();
+    world.kill(0);
+    world.nodes[0].inContact = true;
+    world.start(0);
+    world.at(0).put("store/dead", {{2, 0}, nullptr});
+    for (int node = 1; node < 7; ++node) {
+        world.nodes[node].inContact = false;
+        world.pass(board::isolationLimit - millis(5'000));
+        world.nodes[node + 1].inContact = false;
+        world.start(node + 1);
+        world.connect(node + 1, node);
+        world.settle();
+        world.kill(node);
+    }
+    EXPECT_FALSE(world.at(0).board().find("store/dead"));
+    world.connect(7, 0);
+    world.settle();
+    world.nodes[7].inContact = true;
+    world.pass(millis(2'000));
+    for (const int node : {0, 7}) EXPECT_FALSE(world.at(node).board().find("store/dead")) << node;
+}
+
 TEST(Tombstones, LeaveWhatIsKnownUsableWhileControlIsAway) {
     GossipWorld world;
     for (const int node : {1, 2, 3}) world.start(node);
