--- a/tests/system/gossip.cpp
+++ b/tests/system/gossip.cpp
@@ -573,4 +573,49 @@
         EXPECT_TRUE(leased());
     }
 }
+
+// 350 changes, 80 ms apart, over 300 routes; a member is killed amid them and starts again a second later.
+// From then on it is up to date within a second, and has a lease only with what the others held when it got
+// it.
+TEST(CatchingUp, TakesAMemberUnderASecondAmidChanges) {
+    constexpr std::uint64_t changes = 350, killedAt = 150;
+    constexpr int everyMs = 80, awayMs = 1000, withinMs = 1000;
+    standins::ControlWorld world(3, 0, 5);
+    const std::string taker = world.address(1), restarted = world.address(0);
+    const auto edition = [&](const std::string& name) {
+        const Json known = world.members[name].control->state(world.now)["edition"];
+        return known.is_null() ? std::uint64_t(0) : known.get<std::uint64_t>();
+    };
+    const auto leased = [&] {
+        return world.members[restarted].control->state(world.now)["lease_left_ms"].get<int>() > 0;
+    };
+    world.run(millis(1500));
+    Nanos startedAt = 0, caughtUpAt = 0;
+    for (std::uint64_t change = 1; change <= changes; ++change) {
+        world.members[taker].control->call(++world.lastCall, "PUT", {"config"}, configOf(change, 300).dump(),
+                                           world.now);
+        world.carry(taker);
+        for (int ms = 0; ms < everyMs; ++ms) {
+            const std::uint64_t before = edition(taker);
+            world.step();
+            if (startedAt == 0 || caughtUpAt != 0) continue;
+            if (leased()) {
+                EXPECT_GE(edition(restarted) + 1, before);
+            }
+            if (before > killedAt && edition(restarted) >= before) caughtUpAt = world.now;
+        }
+        if (change == killedAt) world.kill(restarted);
+        if (change == killedAt + awayMs / everyMs) {
+            world.start(restarted);
+            startedAt = world.now;
+        }
+    }
+    ASSERT_GT(caughtUpAt, 0);
+    EXPECT_LT(caughtUpAt - startedAt, millis(withinMs));
+    world.run(millis(300));
+    EXPECT_EQ(edition(restarted), changes);
+    EXPECT_TRUE(leased());
+    std::printf("up to date %ld ms after its start\n",
+                static_cast<long>((caughtUpAt - startedAt) / millis(1)));
+}
 }  // namespace
