--- a/src/board/gossip.cpp
+++ b/src/board/gossip.cpp
@@ -32,9 +32,10 @@
 
 void Gossip::advance(Nanos now, bool inContact) {
     now_ = now;
-    inContact_ = inContact;
+    const bool regained = !std::exchange(inContact_, inContact) && inContact;
     if (lifetimes_.passed(now, inContact)) doubtAll();
-    if (inContact && !lifetimes_.unconfirmed().empty()) dropUnconfirmed();
+    if (regained && !lifetimes_.unconfirmed().empty()) contactRegained();
+    if (inContact && !lifetimes_.unconfirmed().empty()) settleUnconfirmed();
     if (now - sweptAt_ < sweepEvery) return;
     sweptAt_ = now;
     for (const std::string& name : lifetimes_.takeEnded(now)) {
@@ -53,6 +54,35 @@
 void Gossip::doubtAll() {
     for (const auto& [name, record] : board_.all())
         if (Lifetimes::mayEnd(name) && !owned_.count(name)) lifetimes_.doubt(name);
+    beginExchanges();
+}
+
+// Others may have been without contact as long and doubt this process's own records: they are put anew. What
+// peers in contact hold is confirmed by new exchanges.
+void Gossip::contactRegained() {
+    regainedAt_ = askedAgainAt_ = now_;
+    for (const auto& [name, body] : owned_) {
+        const std::uint64_t major = board_.find(name)->version.major;
+        put(name, {{major + 1, hashOfBody(body)}, body});
+    }
+    beginExchanges();
+}
+
+void Gossip::beginExchanges() {
+    for (const auto& [number, link] : links_)
+        if (link.side == Side::dialler) beginExchange(number);
+}
+
+// A peer may itself have been confirmed since the last exchange: it is asked again a few times, and once more
+// after what was not confirmed is gone, so that nothing is missing that it holds.
+void Gossip::settleUnconfirmed() {
+    if (now_ - regainedAt_ >= confirmedWithin) {
+        dropUnconfirmed();
+        return beginExchanges();
+    }
+    if (now_ - askedAgainAt_ < confirmedWithin / 4) return;
+    askedAgainAt_ = now_;
+    beginExchanges();
 }
 
 void Gossip::dropUnconfirmed() {
--- a/src/board/gossip.hpp
+++ b/src/board/gossip.hpp
@@ -45,6 +45,8 @@
     void alive(int link);
     // Whether all that the peer of this link held when it sent what comes next is on this board.
     bool complete(int link) const;
+    // Whether this record was missed for so long that it may be gone; who has fresh word of it puts it anew.
+    bool unconfirmed(const std::string& name) const { return lifetimes_.unconfirmed().count(name) > 0; }
     // A record of this process's own, or one heard over `from`; whether it was news.
     bool put(const std::string& name, Record record, int from = 0);
     // A message of messages.hpp; others are passed over. Throws nlohmann::json::exception where it is not of
@@ -91,6 +93,9 @@
     RecordUpdate whole(const std::string& name, const Record& record) const;
     RecordUpdate updateFrom(const std::string& name, const Record& record, const Version& held) const;
     void doubtAll();
+    void contactRegained();
+    void settleUnconfirmed();
+    void beginExchanges();
     void dropUnconfirmed();
     std::int64_t contactAge_ms() const;
 
@@ -102,7 +107,7 @@
     std::map<int, Link> links_;
     std::map<std::string, Json> owned_;
     std::uint64_t lastExchange_ = 0, lastWant_ = 0;
-    Nanos now_ = 0, sweptAt_ = 0;
+    Nanos now_ = 0, sweptAt_ = 0, regainedAt_ = 0, askedAgainAt_ = 0;
     bool inContact_ = false;
 };
 
--- a/src/board/lifetimes.hpp
+++ b/src/board/lifetimes.hpp
@@ -1,7 +1,8 @@
 // When records end. A tombstone is kept for `tombstoneLife` after it was made, wherever it has come since. A
 // process that was without contact with control for longer than `isolationLimit` may hold records whose
-// tombstones have ended elsewhere: these are unconfirmed, are told to nobody, and are dropped once it is in
-// contact again, unless a peer was found to hold them too. Free of I/O and clocks.
+// tombstones have ended elsewhere: these are unconfirmed, are told to nobody as certain, and are dropped
+// a while after it is in contact again, unless a peer was found to hold them or their owner said them anew.
+// Free of I/O and clocks.
 #pragma once
 
 #include <map>
@@ -19,6 +20,8 @@
 // A record may pass through several processes without contact, each of which counts from its own last
 // contact: so a part of the life, by which three such steps are borne.
 constexpr Nanos isolationLimit = tombstoneLife / 4;
+// How long after contact came back unconfirmed records wait to be confirmed: several heartbeats of stores.
+constexpr Nanos confirmedWithin = millis(10'000);
 
 class Lifetimes {
 public:
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -395,7 +395,7 @@
     const board::Record* known = board().find(name);
     // A call that was overtaken is acknowledged and changes nothing; one that left does not come back by it.
     const bool late = known && seq <= known->version.minor;
-    if (!late && (!known || known->body != now)) {
+    if (!late && (!known || known->body != now || gossip_.unconfirmed(name))) {
         const std::uint64_t major = known ? known->version.major + 1 : 1;
         gossip_.put(name, {{major, seq}, now});
     }
