--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -100,12 +100,14 @@
     grantedAt_ = now;
     if (link == 0) return;
     said_.push_back({link, {{"k", "hello"}, {"kind", "front"}, {"station", settings_.station}}});
-    gossip_.join(link);
+    gossip_.advance(now, lease_.valid(now));
+    gossip_.join(link, board::Side::dialler);
 }
 
-void Agent::linkUp(int link, Nanos) {
+void Agent::linkUp(int link, Nanos now) {
     below_.insert(link);
-    gossip_.join(link);
+    gossip_.advance(now, lease_.valid(now));
+    gossip_.join(link, board::Side::acceptor);
 }
 
 void Agent::linkDown(int link) {
@@ -115,13 +117,15 @@
 
 void Agent::heard(int link, const Json& message, Nanos now) {
     const std::string kind = message.at("k");
-    if (kind == "news" || kind == "whole?") {
+    gossip_.advance(now, lease_.valid(now));
+    if (board::isGossip(kind)) {
         gossip_.heard(link, message);
     } else if (kind == "lease" && link == up_) {
         const auto asked = questions_.answered(message.at("t").get<std::uint64_t>());
         if (!asked) return;
         const Nanos left = message.at("left").get<std::int64_t>() * 1000;  // told in microseconds
-        lease_.granted(*asked, left, message.at("c"));
+        // It counts only once all is here that the parent held when it gave it.
+        lease_.granted(*asked, gossip_.complete(up_) ? left : 0, message.at("c"));
         if (left > 0) {
             grantedAt_ = now;
             barren_.erase(upAddress_);
@@ -139,6 +143,7 @@
 
 void Agent::tick(Nanos now) {
     now_ = now;
+    gossip_.advance(now, lease_.valid(now));
     if (up_ != 0 && now - askedAt_ >= askEvery) {
         askedAt_ = now;
         said_.push_back({up_, {{"k", "lease?"}, {"t", questions_.ask(now)}}});
--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -1,5 +1,7 @@
 #include "board/board.hpp"
 
+#include "board/difference.hpp"
+
 namespace granitereel::board {
 
 bool Board::put(const std::string& name, Record record) {
@@ -18,18 +20,8 @@
     if (!was.is_object() || !now.is_object()) return nullptr;
     const std::size_t whole = now.dump().size();
     if (whole < 1024) return nullptr;
-    Json patch = Json::diff(was, now);
+    Json patch = difference(was, now);
     return patch.dump().size() < whole / 2 ? patch : Json();
 }
 
-Json told(const std::string& name, const Record& record) {
-    return {{"n", name}, {"v", {record.version.major, record.version.minor}}, {"b", record.body}};
-}
-
-std::pair<std::string, Record> heard(const Json& said) {
-    const Json& version = said.at("v");
-    return {said.at("n").get<std::string>(),
-            {{version.at(0).get<std::uint64_t>(), version.at(1).get<std::uint64_t>()}, said.at("b")}};
-}
-
 }  // namespace granitereel::board
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -115,7 +115,7 @@
                 {"member", self_},
                 {"station", settings_.station},
                 {"incarnation", incarnation_}});
-    gossip_.join(link);
+    gossip_.join(link, board::Side::dialler, dialled);
     proposer_.reached(dialled);
     flushProposer(now_);
 }
@@ -174,6 +174,8 @@
 
 void ControlMember::heard(int link, const Json& message, Nanos now) {
     now_ = now;
+    gossip_.advance(now, leased(now));
+    gossip_.alive(link);
     take(link, message, now);
     if (membership_.changing(now)) membership_.tick(votes(), now);
     serveWaiting(now);
@@ -209,15 +211,14 @@
                         {"incarnation", incarnation_},
                         {"epoch", core_.epoch},
                         {"voters", core_.voters}});
-            gossip_.join(link);
+            gossip_.join(link, board::Side::acceptor, peer.member);
         } else if (const std::uint64_t epoch = message.value("epoch", std::uint64_t(0));
                    epoch > core_.epoch) {
             adopt({epoch, message.at("voters").get<std::set<std::string>>()});
         }
-    } else if (kind == "news" || kind == "whole?") {
+    } else if (board::isGossip(kind)) {
         gossip_.heard(link, message);
-        // The first news of a link is the whole board.
-        if (kind == "news" && !peer.dialled.empty()) stores_.boardHeardFrom(peer.dialled);
+        if (!peer.dialled.empty() && gossip_.complete(link)) stores_.boardHeardFrom(peer.dialled);
     } else if (kind == StoreRecordReplicate::kind) {
         if (const auto reply = stores_.hold(StoreRecordReplicate::fromJson(message), now))
             send(link, reply->toJson());
@@ -243,6 +244,9 @@
         contacts_.heard(peer.dialled, micros(message, "lease_left_us"), now);
         const LeaseAnswer told = LeaseAnswer::fromJson(message);
         unsettledLeads_.told(told.unsettled, now);
+        // Before the exchange on this link is complete the voter may know of a change that this member
+        // doesn't.
+        if (!gossip_.complete(link)) return;
         lease_.answered(peer.dialled, told, core_);
     } else if (kind == "lease?") {
         const Nanos left = lease_.until() - now;
@@ -693,6 +697,7 @@
 
 void ControlMember::tick(Nanos now) {
     now_ = now;
+    gossip_.advance(now, leased(now));
     ownRecord();
     rounds(now);
     stores_.tick(now);
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -78,6 +78,7 @@
     int syncReplicas(const std::string& service) const override;
 
     void putRecord(const std::string& name, board::Record record) override;
+    bool unconfirmed(const std::string& name) const override { return gossip_.unconfirmed(name); }
     void sendTo(const std::string& voter, Json message) override;
     const Core& core() const override { return core_; }
     void answerStore(std::uint64_t call, Kind kind) override { answerOrSendOn(call, kind, "{}"); }
--- a/src/control/program.cpp
+++ b/src/control/program.cpp
@@ -16,6 +16,7 @@
 #include "transport/link.hpp"
 #include "transport/steady.hpp"
 #include "transport/store_call.hpp"
+#include "transport/traffic.hpp"
 
 namespace granitereel::control {
 
@@ -79,6 +80,7 @@
         tick();
         spdlog::info("control serves at {}", settings_.controlAddress);
         loop_.run();
+        spdlog::info("sent: {}", traffic_.line());
         if (!writer_.stop(endWithin)) {
             spdlog::warn("ends although the disk hangs");
             spdlog::default_logger()->flush();
@@ -144,6 +146,7 @@
         dial(now);
         member_.diskSeen(diskHealth(now), now);
         member_.tick(now);
+        if (traffic_.due(now)) spdlog::info("sent: {}", traffic_.line());
         carryOut();
         ticker_.expires_after(std::chrono::milliseconds(50));
         ticker_.async_wait([this](boost::system::error_code ec) {
@@ -210,7 +213,7 @@
     }
     void carry(ToLink& out) {
         const auto at = links_.find(out.link);
-        if (at != links_.end()) at->second->send(out.message);
+        if (at != links_.end()) traffic_.sent(out.message.at("k"), at->second->send(out.message));
     }
     void carry(ToSelf& out) { member_.voteStored(out.reply, transport::steadyNow()); }
     void carry(ToDisk& out) {
@@ -265,6 +268,7 @@
     bool leaving_ = false, ending_ = false;
     asio::signal_set signals_;
     std::map<int, std::shared_ptr<Link>> links_;
+    transport::Traffic traffic_;
     std::map<std::string, Dialled> dialled_;
     int lastLink_ = 0;
     transport::Listener listener_;
--- a/src/control/store_registry.cpp
+++ b/src/control/store_registry.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "board/messages.hpp"
+
 namespace granitereel::control {
 
 namespace {
@@ -51,24 +53,34 @@
     return said;
 }
 
+namespace {
+Json recordToJson(const std::string& name, const board::Record& record) {
+    return board::RecordUpdate{name, record.version, std::nullopt, record.body}.toJson();
+}
+}  // namespace
+
 Json StoreRecordReplicate::toJson() const {
-    return {{"k", kind}, {"life", life}, {"number", number}, {"record", board::told(name, record)}};
+    return {{"k", kind}, {"life", life}, {"number", number}, {"record", recordToJson(name, record)}};
 }
 
 StoreRecordReplicate StoreRecordReplicate::fromJson(const Json& message) {
-    auto [name, record] = board::heard(message.at("record"));
-    return {message.at("life"), message.at("number"), std::move(name), std::move(record)};
+    board::RecordUpdate told = board::RecordUpdate::fromJson(message.at("record"));
+    return {message.at("life"), message.at("number"), std::move(told.name),
+            board::Record{told.version, std::move(told.body)}};
 }
 
 Json StoreRecordHeld::toJson() const {
     Json message{{"k", kind}, {"life", life}, {"number", number}};
-    if (other) message["other"] = board::told("", *other);
+    if (other) message["other"] = recordToJson("", *other);
     return message;
 }
 
 StoreRecordHeld StoreRecordHeld::fromJson(const Json& message) {
     StoreRecordHeld answer{message.at("life"), message.at("number"), std::nullopt};
-    if (message.contains("other")) answer.other = board::heard(message.at("other")).second;
+    if (message.contains("other")) {
+        board::RecordUpdate told = board::RecordUpdate::fromJson(message.at("other"));
+        answer.other = board::Record{told.version, std::move(told.body)};
+    }
     return answer;
 }
 
@@ -109,7 +121,9 @@
         return former && now < life.formerUntil ? Verdict::overtaken : Verdict::newLife;
     }
     const bool gone = known->body.is_null();
-    const bool same = !gone && known->body == recordBody(said, lifeOf(*known), coldLeftOf(*known));
+    // What may be gone elsewhere is put anew, above what stands.
+    const bool certain = !gone && !means_.unconfirmed(recordName(said.id));
+    const bool same = certain && known->body == recordBody(said, lifeOf(*known), coldLeftOf(*known));
     // The number alone: this very call may have been heard before it was found that the record was behind.
     if (gone || said.number < life.number || said.number <= known->version.minor) {
         if (startedAnew(said, life, now)) return Verdict::newLife;
--- a/src/control/store_registry.hpp
+++ b/src/control/store_registry.hpp
@@ -60,6 +60,8 @@
         virtual const board::Board& board() const = 0;
         // A record for all; those of a version not above the one that stands change nothing.
         virtual void putRecord(const std::string& name, board::Record record) = 0;
+        // Whether this record was missed for so long that it may be gone elsewhere (board::Gossip).
+        virtual bool unconfirmed(const std::string& name) const = 0;
         virtual void sendTo(const std::string& voter, Json message) = 0;
         virtual const Core& core() const = 0;
         virtual void answerStore(std::uint64_t call, Kind kind) = 0;
--- a/src/proxy/news.cpp
+++ b/src/proxy/news.cpp
@@ -7,29 +7,38 @@
 
 namespace granitereel::proxy {
 
+namespace {
+// The only link that the proxy's board is told over.
+constexpr int agentLink = 1;
+}  // namespace
+
 void Pooler::agentUp(Nanos now) {
     begin(now);
     agent_ = true;
     askedAt_ = 0;
-    gossip_.join(1);
+    gossip_.advance(now, lease_.valid(now));
+    gossip_.join(agentLink, board::Side::dialler);
     settle();
 }
 
 void Pooler::agentDown() {
     agent_ = false;
-    gossip_.leave(1);
+    gossip_.leave(agentLink);
     leaseQuestions_.forget();
 }
 
 void Pooler::agentSaid(const Json& message, Nanos now) {
     begin(now);
     const std::string kind = message.at("k");
-    if (kind == "news" || kind == "whole?") {
-        gossip_.heard(1, message);
+    gossip_.advance(now, lease_.valid(now));
+    if (board::isGossip(kind)) {
+        gossip_.heard(agentLink, message);
     } else if (kind == "lease") {
         const auto asked = leaseQuestions_.answered(message.at("t").get<std::uint64_t>());
-        // Told in microseconds.
-        if (asked) lease_.granted(*asked, message.at("left").get<std::int64_t>() * 1000, message.at("c"));
+        if (!asked) return settle();
+        const Nanos left = message.at("left").get<std::int64_t>() * 1000;  // told in microseconds
+        // It counts only once all is here that the agent held when it gave it.
+        lease_.granted(*asked, gossip_.complete(agentLink) ? left : 0, message.at("c"));
     }
     settle();
 }
--- a/src/proxy/pooler.cpp
+++ b/src/proxy/pooler.cpp
@@ -119,6 +119,7 @@
 
 void Pooler::tick(Nanos now) {
     begin(now);
+    gossip_.advance(now, lease_.valid(now));
     askForLease();
     if (now >= wakeAt_) front_.woke(0);
     settle();
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -3,7 +3,7 @@
 namespace granitereel::transport {
 
 namespace {
-// Above the largest configuration that an operator may send, and all records of a large site in one snapshot.
+// Above the largest configuration that an operator may send, which goes in one message.
 constexpr std::size_t longestLine = 32 * 1024 * 1024;
 }  // namespace
 
@@ -11,8 +11,10 @@
     return message.dump() + "\n";
 }
 
-void Link::send(const Json& message) {
-    stream_->send(lineOf(message));
+std::size_t Link::send(const Json& message) {
+    const std::string line = lineOf(message);
+    stream_->send(line);
+    return line.size();
 }
 
 void Link::start(OnMessage onMessage, OnEnd onEnd) {
--- a/standins/poolerrig.hpp
+++ b/standins/poolerrig.hpp
@@ -64,7 +64,8 @@
     void config(std::uint64_t edition, bool bounded = true);
     void standing(const std::string& store, const std::string& standing, const std::string& role = "",
                   const std::string& address = "");
-    bool leases = true;  // whether questions for the lease are answered
+    bool leases = true;     // whether questions for the lease are answered
+    bool exchanges = true;  // whether the agent completes the exchange of boards on a new link
 
     std::vector<nlohmann::json> toCourier;
     std::vector<std::string> requests;  // all that reached a store, in order
--- a/tests/system/recovery.cpp
+++ b/tests/system/recovery.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "board/messages.hpp"
 #include "standins/control_world.hpp"
 
 namespace {
@@ -44,11 +45,18 @@
         for (const char* other : {"b", "c", "d", "e"}) member->linkUp(++link, other, now);
         collect();
     }
+    // Its disk writes at once; the others hold nothing that its board lacks.
     void collect() {
-        for (Output& each : member->takeOutputs()) {
-            if (auto* out = std::get_if<ToLink>(&each)) said.push_back(out->message);
-            if (auto* write = std::get_if<ToDisk>(&each)) disk[write->name] = write->body;
-        }
+        for (Outputs outputs = member->takeOutputs(); !outputs.empty(); outputs = member->takeOutputs())
+            for (Output& each : outputs) {
+                if (auto* write = std::get_if<ToDisk>(&each)) disk[write->name] = write->body;
+                if (auto* vote = std::get_if<ToSelf>(&each)) member->voteStored(vote->reply, now);
+                auto* out = std::get_if<ToLink>(&each);
+                if (!out) continue;
+                said.push_back(out->message);
+                if (out->message.at("k") == board::Inventory::kind)
+                    member->heard(out->link, board::Complete{out->message.at("exchange"), 0}.toJson(), now);
+            }
     }
     void hear(int link, const Json& message) {
         member->heard(link, message, now);
@@ -91,7 +99,7 @@
         return said.at(0).at("c").get<LeadMarks>();
     }
     void news(const std::string& name, std::uint64_t version, const Json& body) {
-        hear(1, {{"k", "news"}, {"r", Json::array({board::told(name, {{version, 0}, body})})}});
+        hear(1, board::News{{{name, {version, 0}, std::nullopt, body}}}.toJson());
     }
     bool votes() const { return member->state(now)["votes"]; }
     int lease() const { return member->state(now)["lease_left_ms"]; }
