--- a/src/control/durable_env.cpp
+++ b/src/control/durable_env.cpp
@@ -37,7 +37,7 @@
     return status;
 }
 
-leveldb::Status DurableEnv::synced(leveldb::Status changed, const std::string& path) {
+leveldb::Status DurableEnv::synced(const leveldb::Status& changed, const std::string& path) {
     return changed.ok() ? sync_(parentOf(path)) : changed;
 }
 
--- a/src/control/durable_env.hpp
+++ b/src/control/durable_env.hpp
@@ -40,7 +40,7 @@
     // Syncs the folder of a rename, now or when it is tried again.
     leveldb::Status settle();
     // A changed name is durable, or the call failed.
-    leveldb::Status synced(leveldb::Status changed, const std::string& path);
+    leveldb::Status synced(const leveldb::Status& changed, const std::string& path);
     const FolderSync sync_;
     std::mutex mutex_;       // LevelDB compacts on a thread of its own
     std::string unsettled_;  // the folder of such a rename; empty: none
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -418,7 +418,7 @@
                          const std::uint64_t seq = was.is_object() ? was.at("seq").get<std::uint64_t>() : 0;
                          if (seq != ifSeq) return was;
                          *applied = true;
-                         return wanted;
+                         return Json(wanted);
                      },
                      [this, name, wanted, applied, done = std::move(done)](std::optional<Json> stands) {
                          if (stands) learn(name, *stands);
@@ -553,7 +553,7 @@
     if (at == asks_.end()) return;
     Succession* asker = at->second;
     asks_.erase(at);
-    asker->answered(ask, std::move(row), now);
+    asker->answered(ask, row, now);
 }
 
 void ControlMember::platformAnswered(std::uint64_t ask, PromotionAnswer answer, Nanos now) {
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -56,7 +56,9 @@
         auto& there = line.values[name];
         if (there == value && !there.empty()) continue;
         there = value;
-        ask(line, "-", "SET " + name + " " + value, Part::prelude);
+        std::string text = "SET ";
+        text.append(name).append(" ").append(value);
+        ask(line, "-", text, Part::prelude);
     }
 }
 
--- a/src/proxy/program.cpp
+++ b/src/proxy/program.cpp
@@ -125,7 +125,7 @@
         (*made)->start([](std::string_view) { return std::size_t(0); }, [again](bool) { again(); });
     }
 
-    void client(std::shared_ptr<Stream> stream) {
+    void client(const std::shared_ptr<Stream>& stream) {
         if (clients_.size() >= clientsMost_) {
             stream->start([](std::string_view all) { return all.size(); }, [](bool) {});
             stream->send(errorLine(Error::busy, "too many sessions; come back in 500 ms"));
