Known red: a store that starts between its pause and the promotion

Cause: PAUSE ends with a store's restart, and nothing on the wire tells the owner of it in time; the random test of promotions was made to start no store in that window, which hides it.

--- a/standins/promotion_rig.hpp
+++ b/standins/promotion_rig.hpp
@@ -30,6 +30,7 @@
         int owners = 2;
         std::optional<Nanos> postWay = {}, promoteTakes = {};  // none: at random
         int lostInHundred = 0;  // of calls to stores and to the platform, requests and answers alike
+        bool startsAtAnyMoment = false;  // also between a replica's pause and the promotion that rests on it
     };
     struct Post {
         Nanos at;
@@ -242,6 +243,7 @@
     // A start ends a pause, so none is assumed between a pause and the promotion that rests on it. No
     // promotion goes on without a store that is still on record.
     bool mayStart() const {
+        if (options.startsAtAnyMoment) return !left.empty();
         if (left.empty() || !lead || now - leftAt <= millis(3000) || now <= promotedBy) return false;
         return lead->steady || lead->replicas.count(left) > 0;
     }
--- a/tests/system/promotion.cpp
+++ b/tests/system/promotion.cpp
@@ -269,6 +269,21 @@
     EXPECT_GT(promotions, seeds);
 }
 
+// A store that starts ends its pause, and nothing on the wire forbids it to receive then: what is acknowledged
+// between the pause and the promotion may be lost (docs/control-safety/promotion.md, KNOWN-RED.txt).
+TEST(PromotionRestarts, KeepEveryRuleWhereStoresStartAtAnyMoment) {
+    // Of the first thousand seeds the 608th is the first to show it.
+    for (unsigned seed = 600; seed <= 620 && !HasFailure(); ++seed) {
+        PromotionRig::Options options;
+        options.seed = seed;
+        options.owners = 3;
+        options.startsAtAnyMoment = true;
+        PromotionRig rig(options);
+        runAtRandom(rig);
+        expectWhole(rig, "seed " + std::to_string(seed) + " ");
+    }
+}
+
 // An answer that comes late, when the owner is at its next attempt already, is not taken for that one's.
 TEST(Promotion, ALateAnswerOfThePlatformIsNotTakenForALaterCalls) {
     for (const auto late : {PromotionAnswer::accepted, PromotionAnswer::conflict, PromotionAnswer::silent}) {
