--- a/standins/promotion_rig.hpp
+++ b/standins/promotion_rig.hpp
@@ -29,7 +29,7 @@
         unsigned seed = 1;
         int owners = 2;
         std::optional<Nanos> postWay = {}, promoteTakes = {};  // none: at random
-        int lostInHundred = 0;  // of calls to stores and to the platform, requests and answers alike
+        int lostInHundred = 0;           // of calls to stores and to the platform, requests and answers alike
         bool startsAtAnyMoment = false;  // also between a replica's pause and the promotion that rests on it
     };
     struct Post {
--- a/tests/system/promotion.cpp
+++ b/tests/system/promotion.cpp
@@ -269,8 +269,9 @@
     EXPECT_GT(promotions, seeds);
 }
 
-// A store that starts ends its pause, and nothing on the wire forbids it to receive then: what is acknowledged
-// between the pause and the promotion may be lost (docs/control-safety/promotion.md, KNOWN-RED.txt).
+// A store that starts ends its pause, and nothing on the wire forbids it to receive then: what is
+// acknowledged between the pause and the promotion may be lost (docs/control-safety/promotion.md,
+// KNOWN-RED.txt).
 TEST(PromotionRestarts, KeepEveryRuleWhereStoresStartAtAnyMoment) {
     // Of the first thousand seeds the 608th is the first to show it.
     for (unsigned seed = 600; seed <= 620 && !HasFailure(); ++seed) {
