--- a/standins/promotion_rig.hpp
+++ b/standins/promotion_rig.hpp
@@ -168,7 +168,8 @@
                                     {"standing", standing},
                                     {"role", databases.roleOf(store)}}});
     }
-    void crash(const std::string& store, bool on) {
+    // By value: the name may be that of an element which is erased here.
+    void crash(std::string store, bool on) {
         on ? (void)dark.insert(store) : (void)dark.erase(store);
         databases.dark(store, on);
     }
