A planned change of the lead rests on the lead's own position, not on every replica

The log now says who was not heard.

Change: the row of a lead that is alive, asked for behind the wait, bounds all that clients were told of; the target needs that position and nobody else is waited for.

--- a/src/control/succession.cpp
+++ b/src/control/succession.cpp
@@ -413,6 +413,7 @@
     predecessor_ = lead->fence > 0 && lead->fence != ownFence_;
     tookOver_ = !lead->steady;
     rows_.clear();
+    leadHas_.reset();
     paused_.clear();
     toResume_.clear();
     resumed_.clear();
@@ -447,7 +448,10 @@
 void Succession::tickPausing(Nanos now) {
     if (guardedAt_ == 0) guardedAt_ = since_ = now;
     if (planned_ && target_.empty() && !chooseTarget()) return standDown(now);
-    if (planned_ && now - guardedAt_ > waitsBeforePromotion() + catchesUpWithin) return standDown(now);
+    if (planned_ && now - guardedAt_ > waitsBeforePromotion() + catchesUpWithin) {
+        log("not passed on to " + target_ + ": " + whatIsMissing());
+        return standDown(now);
+    }
     if (now - askedAt_ >= askAgain) askAll(now);
     weigh(now);
 }
@@ -477,6 +481,7 @@
 void Succession::pauseReplicas(Nanos now) {
     askedAt_ = now;
     ++pauseTerm_;
+    if (planned_ && !leadHas_) ask(lead_.store, Statement::status, "STATUS", now);
     for (const std::string& store : others()) {
         if (planned_ &&
             store == target_)  // shows its row like STATUS, should an earlier owner have paused it
@@ -515,7 +520,11 @@
 // It lives and leads on, if no promotion can be under way: one that an earlier owner or attempt asked for has
 // shown when the wait is over.
 void Succession::rowOfOldPrimary(const Ask& asked, const StoreRow& row, Nanos now) {
-    if (planned_ || !row.primary || row.term != lead_.term) return;
+    if (!row.primary || row.term != lead_.term) return;
+    if (planned_) {
+        if (!leadHas_) leadHas_ = row.received;
+        return weigh(now);
+    }
     if (tookOver_ && asked.at < guardedAt_ + waitsBeforePromotion()) return;
     log(lead_.store + " answers again and leads on");
     standDown(now);
@@ -542,8 +551,10 @@
     });
 }
 
-// An acknowledged commit is on as many replicas as are synchronous: of any others one may be missing.
+// An acknowledged commit is on as many replicas as are synchronous: of any others one may be missing. Where
+// the lead itself said how far it was, all that clients were told of is at or below that.
 bool Succession::enoughHeard() const {
+    if (leadHas_) return true;
     const std::vector<std::string> needed = others();
     const auto answering = static_cast<std::size_t>(
         std::count_if(needed.begin(), needed.end(), [&](const std::string& store) { return heard(store); }));
@@ -553,6 +564,19 @@
     return !rows_.empty() && answering + mayMiss >= needed.size();
 }
 
+// For the log: who was not heard, and how far the others are.
+std::string Succession::whatIsMissing() const {
+    std::string all;
+    for (const std::string& store : others()) {
+        const auto row = rows_.find(store);
+        const std::string said = row != rows_.end() ? "is at " + granitereel::written(row->second.received)
+                                 : heard(store)     ? "has left, its log was heard"
+                                                    : "was not heard";
+        all += (all.empty() ? "" : ", ") + store + " " + said;
+    }
+    return all;
+}
+
 std::string Succession::furthest() const {
     std::string best;
     for (const auto& [store, row] : rows_) {
@@ -577,7 +601,8 @@
     if (planned_) {
         const auto target = rows_.find(target_);
         if (target == rows_.end()) return;
-        if (target->second.received < rows_.at(best).received) return;  // asked again until it has it all
+        const Mark most = std::max(leadHas_.value_or(Mark()), rows_.at(best).received);
+        if (target->second.received < most) return;  // asked again until it has it all
         best = target_;
     }
     target_ = best;
--- a/src/control/succession.hpp
+++ b/src/control/succession.hpp
@@ -154,6 +154,7 @@
     void verify(Nanos now);
     bool enoughHeard() const;
     std::string furthest() const;
+    std::string whatIsMissing() const;
     void weigh(Nanos now);
     void post(Nanos now);
     void settle(const std::string& store, std::uint64_t term, Nanos now);
@@ -185,6 +186,7 @@
     std::string target_;
     Nanos verifyingSince_ = 0;  // 0: the wait is not over
     std::map<std::string, StoreRow> rows_;
+    std::optional<Mark> leadHas_;   // planned: of the lead's row, asked for behind the wait
     std::set<std::string> paused_;  // answered a PAUSE of this verification
     Nanos pausesOverAt_ = 0;        // by then every PAUSE of ours has arrived, or never will
 
--- a/tests/system/promotion.cpp
+++ b/tests/system/promotion.cpp
@@ -186,6 +186,31 @@
                 }
 }
 
+// A replica that crashed without a word and stays away, or is hidden from control and receives on: where the
+// lead itself says how far it is, its planned end waits for no such replica, only for the target.
+TEST(Promotion, APlannedChangeWaitsForNoReplicaThatIsAway) {
+    for (const bool hidden : {false, true})
+        for (const bool targetDeaf : {false, true}) {
+            PromotionRig rig({true, 0, 11, 2, 0});
+            rig.own(*rig.owners[0], true);
+            runWithWrites(rig, millis(1000));
+            if (targetDeaf) rig.databases.deaf("s1", true);  // s2 alone has what is acknowledged from here on
+            rig.clientWrites();
+            if (hidden)
+                rig.hiddenFromControl.insert("s2");
+            else
+                rig.crash("s2", true);
+            rig.beat("s0", "winding_down");
+            runWithWrites(rig, millis(3000));
+            const std::string where = std::string(hidden ? "hidden" : "dark") + (targetDeaf ? " deaf " : " ");
+            EXPECT_EQ(rig.databases.lead(), targetDeaf ? "s0" : "s1") << where;
+            rig.databases.deaf("s1", false);
+            runWithWrites(rig, millis(8000));
+            EXPECT_EQ(rig.databases.lead(), "s1") << where;
+            expectWhole(rig, where);
+        }
+}
+
 // A long run in which everything goes wrong at random; what must hold at each moment is checked by the rig.
 void runAtRandom(PromotionRig& rig) {
     std::mt19937& chance = rig.chance;
