Typed messages for links, leases and lost disks; steps of a member's dispatch by name

Need: hello, dump, stale and lease were bare JSON, the lease in three places (agent, proxy, control), and ControlMember::take did the work of each message in line.

Change: control/messages (Hello, PresentCore, StateRequest, StateReply), LeaseRequest and LeaseReply in board/lease; greeted, roundAsked, roundAnswered.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -120,22 +120,18 @@
     gossip_.advance(now, lease_.valid(now));
     if (board::isGossip(kind)) {
         gossip_.heard(link, message);
-    } else if (kind == "lease" && link == up_) {
-        const auto asked = questions_.answered(message.at("t").get<std::uint64_t>());
+    } else if (kind == board::LeaseReply::kind && link == up_) {
+        const board::LeaseReply reply = board::LeaseReply::fromJson(message);
+        const auto asked = questions_.answered(reply.number);
         if (!asked) return;
-        const Nanos left = message.at("left").get<std::int64_t>() * 1000;  // told in microseconds
-        // It counts only once all is here that the parent held when it gave it.
-        lease_.granted(*asked, gossip_.complete(up_) ? left : 0, message.at("c"));
-        if (left > 0) {
+        lease_.granted(*asked, reply, gossip_.complete(up_));
+        if (reply.left > 0) {
             grantedAt_ = now;
             barren_.erase(upAddress_);
         }
-    } else if (kind == "lease?") {
-        said_.push_back({link,
-                         {{"k", "lease"},
-                          {"t", message.at("t")},
-                          {"left", lease_.left(now) / 1000},
-                          {"c", lease_.unsettled()}}});
+    } else if (kind == board::LeaseRequest::kind) {
+        const std::uint64_t number = board::LeaseRequest::fromJson(message).number;
+        said_.push_back({link, board::LeaseReply{number, lease_.left(now), lease_.unsettled()}.toJson()});
     } else if (kind == "suspect") {
         if (up_ != 0) said_.push_back({up_, message});
     }
@@ -146,7 +142,7 @@
     gossip_.advance(now, lease_.valid(now));
     if (up_ != 0 && now - askedAt_ >= askEvery) {
         askedAt_ = now;
-        said_.push_back({up_, {{"k", "lease?"}, {"t", questions_.ask(now)}}});
+        said_.push_back({up_, board::LeaseRequest{questions_.ask(now)}.toJson()});
     }
     if (up_ != 0 && now - grantedAt_ > barrenFor) {
         shun(upAddress_, now);
--- a/src/board/lease.cpp
+++ b/src/board/lease.cpp
@@ -8,6 +8,7 @@
 namespace {
 // Questions that may be open at once: more than a lease's time holds of them.
 constexpr std::size_t openMost = 8;
+constexpr Nanos nanosInMicro = 1'000;
 }  // namespace
 
 std::uint64_t LeaseQuestions::ask(Nanos now) {
@@ -24,17 +25,32 @@
     return sent;
 }
 
-void HeldLease::granted(Nanos asked, Nanos left, const nlohmann::json& unsettled) {
-    auto heard = unsettled.get<std::map<std::string, std::uint64_t>>();
+LeaseRequest LeaseRequest::fromJson(const nlohmann::json& message) {
+    return {message.at("t").get<std::uint64_t>()};
+}
+
+nlohmann::json LeaseReply::toJson() const {
+    return {{"k", kind}, {"t", number}, {"left", left / nanosInMicro}, {"c", unsettled}};
+}
+
+LeaseReply LeaseReply::fromJson(const nlohmann::json& message) {
+    LeaseReply reply;
+    reply.number = message.at("t").get<std::uint64_t>();
+    reply.left = message.at("left").get<std::int64_t>() * nanosInMicro;
+    reply.unsettled = message.at("c").get<std::map<std::string, std::uint64_t>>();
+    return reply;
+}
+
+void HeldLease::granted(Nanos asked, const LeaseReply& reply, bool counts) {
     // Counted from the question, which is before the grant.
-    const Nanos until = left > 0 ? asked + left : 0;
+    const Nanos until = counts && reply.left > 0 ? asked + reply.left : 0;
     if (until > until_) {
         until_ = until;
-        unsettled_ = std::move(heard);
+        unsettled_ = reply.unsettled;
         return;
     }
     // The longer lease stays, with its own list; what else is in doubt is added, as caution harms nobody.
-    for (const auto& [service, sequence] : heard) {
+    for (const auto& [service, sequence] : reply.unsettled) {
         auto& known = unsettled_[service];
         known = std::max(known, sequence);
     }
--- a/src/board/lease.hpp
+++ b/src/board/lease.hpp
@@ -12,6 +12,25 @@
 
 namespace granitereel::board {
 
+// The question for the lease, from a process further from the core to one nearer to it.
+struct LeaseRequest {
+    static constexpr const char* kind = "lease?";
+    std::uint64_t number = 0;
+    nlohmann::json toJson() const { return {{"k", kind}, {"t", number}}; }
+    static LeaseRequest fromJson(const nlohmann::json& message);  // throws nlohmann::json::exception
+};
+
+// What is left of the giver's lease, counted from when the question was sent, and what it knows to be
+// unsettled: the sequence number from which a service's record is proof of its lead again, by service.
+struct LeaseReply {
+    static constexpr const char* kind = "lease";
+    std::uint64_t number = 0;
+    Nanos left = 0;  // in whole microseconds on the wire; 0 or less: none
+    std::map<std::string, std::uint64_t> unsettled;
+    nlohmann::json toJson() const;
+    static LeaseReply fromJson(const nlohmann::json& message);  // throws nlohmann::json::exception
+};
+
 // Questions for the lease that are out on one link. An answer counts once, for its own question, and closes
 // all earlier ones. Numbers go on over links, so that no answer of an earlier link matches.
 class LeaseQuestions {
@@ -32,17 +51,16 @@
 // of its round answered with them. So the time of one grant is never used with the list of another.
 class HeldLease {
 public:
-    // The answer to a question sent at `asked`: `left` of the lease in ns, 0 or less: none; `unsettled`: the
-    // sequence number from which a service's record is proof of its lead again, by service. Throws
-    // nlohmann::json::exception where `unsettled` is not of this form, and changes nothing then.
-    void granted(Nanos asked, Nanos left, const nlohmann::json& unsettled);
+    // The answer to a question sent at `asked`. `counts`: whether all is here that the giver held; else what
+    // it says of unsettled leads is added, and its time does not count.
+    void granted(Nanos asked, const LeaseReply& reply, bool counts);
     bool valid(Nanos now) const { return now < until_; }
     // Nanoseconds, at least 0.
     Nanos left(Nanos now) const { return until_ > now ? until_ - now : 0; }
     Nanos until() const { return until_; }
     // Whether the record of a service's lead with this sequence number is no longer in doubt.
     bool settles(const std::string& service, std::uint64_t sequence) const;
-    nlohmann::json unsettled() const { return unsettled_; }
+    const std::map<std::string, std::uint64_t>& unsettled() const { return unsettled_; }
 
 private:
     Nanos until_ = 0;
--- a/src/control/lease.cpp
+++ b/src/control/lease.cpp
@@ -10,7 +10,7 @@
 }  // namespace
 
 Json LeaseQuestion::toJson() const {
-    return {{"k", "round"}, {"round", round}, {"epoch", epoch}};
+    return {{"k", kind}, {"round", round}, {"epoch", epoch}};
 }
 
 LeaseQuestion LeaseQuestion::fromJson(const Json& message) {
@@ -20,7 +20,7 @@
 Json LeaseAnswer::toJson() const {
     Json marks = Json::object();
     for (const auto& [service, sequence] : unsettled) marks[service] = sequence;
-    return {{"k", "roundok"}, {"round", round}, {"epoch", epoch}, {"unsettled", std::move(marks)}};
+    return {{"k", kind}, {"round", round}, {"epoch", epoch}, {"unsettled", std::move(marks)}};
 }
 
 LeaseAnswer LeaseAnswer::fromJson(const Json& message) {
--- a/src/control/lease.hpp
+++ b/src/control/lease.hpp
@@ -17,12 +17,14 @@
 using LeadMarks = std::map<std::string, std::uint64_t>;
 
 struct LeaseQuestion {
+    static constexpr const char* kind = "round";
     std::uint64_t round = 0, epoch = 0;
     Json toJson() const;
     static LeaseQuestion fromJson(const Json& message);  // throws nlohmann::json::exception
 };
 
 struct LeaseAnswer {
+    static constexpr const char* kind = "roundok";
     std::uint64_t round = 0, epoch = 0;
     LeadMarks unsettled;
     Json toJson() const;
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "control/disk_records.hpp"
+#include "control/messages.hpp"
 
 namespace granitereel::control {
 
@@ -111,11 +112,7 @@
 void ControlMember::linkUp(int link, const std::string& dialled, Nanos) {
     peers_[link].dialled = dialled;
     if (dialled.empty()) return;  // who comes speaks first
-    send(link, {{"k", "hello"},
-                {"kind", "member"},
-                {"member", self_},
-                {"station", settings_.station},
-                {"incarnation", incarnation_}});
+    send(link, Hello{Hello::fromMember, self_, settings_.station, "", incarnation_, {}}.toJson());
     gossip_.join(link, board::Side::dialler, dialled);
     proposer_.reached(dialled);
     flushProposer(now_);
@@ -192,31 +189,8 @@
     if (!peer.dialled.empty()) memberHeard_[peer.dialled] = now;
     if (const std::string& member = peer.dialled.empty() ? peer.member : peer.dialled; !member.empty())
         membership_.heard(member, now);
-    if (kind == "hello") {
-        peer.kind = message.at("kind");
-        peer.station = message.value("station", "");
-        peer.member = message.value("member", "");
-        if (peer.kind == "member") {
-            std::string& known = incarnations_[peer.member];
-            const std::string told = message.at("incarnation");
-            if (!known.empty() && known != told) proposer_.forgets(peer.member, now);
-            known = told;
-            membership_.heard(peer.member, now);
-        }
-        if (peer.dialled.empty()) {
-            send(link, {{"k", "hello"},
-                        {"kind", "member"},
-                        {"member", self_},
-                        {"station", settings_.station},
-                        {"district", settings_.district},
-                        {"incarnation", incarnation_},
-                        {"epoch", core_.epoch},
-                        {"voters", core_.voters}});
-            gossip_.join(link, board::Side::acceptor, peer.member);
-        } else if (const std::uint64_t epoch = message.value("epoch", std::uint64_t(0));
-                   epoch > core_.epoch) {
-            adopt({epoch, message.at("voters").get<std::set<std::string>>()});
-        }
+    if (kind == Hello::kind) {
+        greeted(link, peer, Hello::fromJson(message), now);
     } else if (board::isGossip(kind)) {
         gossip_.heard(link, message);
         if (!peer.dialled.empty() && gossip_.complete(link)) stores_.boardHeardFrom(peer.dialled);
@@ -229,38 +203,22 @@
         vote(link, message);
     } else if (isVoteReply(kind)) {
         proposer_.heard(peer.dialled, message, now);
-    } else if (kind == "stale") {
-        adopt({message.at("e").get<std::uint64_t>(), message.at("c").get<std::set<std::string>>()});
-    } else if (kind == "round") {
-        const LeaseQuestion question = LeaseQuestion::fromJson(message);
-        if (!peer.member.empty()) calls_.contacts().heard(peer.member, micros(message, "lease_left_us"), now);
-        if (votes() && question.epoch == core_.epoch) {
-            const LeaseAnswer told{question.round, question.epoch, unsettledLeads_.own(board())};
-            send(link, withLeaseLeft(told.toJson()));
-        }
-        // Who was cut off during a change of voters is told of it.
-        if (question.epoch < core_.epoch)
-            send(link, {{"k", "stale"}, {"e", core_.epoch}, {"c", core_.voters}});
-    } else if (kind == "roundok") {
-        calls_.contacts().heard(peer.dialled, micros(message, "lease_left_us"), now);
-        const LeaseAnswer told = LeaseAnswer::fromJson(message);
-        unsettledLeads_.told(told.unsettled, now);
-        // Before the exchange on this link is complete the voter may know of a change that this member
-        // doesn't.
-        if (!gossip_.complete(link)) return;
-        lease_.answered(peer.dialled, told, core_);
-    } else if (kind == "lease?") {
-        const Nanos left = lease_.until() - now;
-        send(link, {{"k", "lease"},
-                    {"t", message.at("t")},
-                    {"left", std::max<Nanos>(0, left / 1000)},
-                    {"c", Json(unsettledLeads_.all(board(), now))}});
+    } else if (kind == PresentCore::kind) {
+        adopt(PresentCore::fromJson(message).core);
+    } else if (kind == LeaseQuestion::kind) {
+        roundAsked(link, peer, message, now);
+    } else if (kind == LeaseAnswer::kind) {
+        roundAnswered(link, peer, message, now);
+    } else if (kind == board::LeaseRequest::kind) {
+        const std::uint64_t number = board::LeaseRequest::fromJson(message).number;
+        const Nanos left = std::max<Nanos>(0, lease_.until() - now);
+        send(link, board::LeaseReply{number, left, unsettledLeads_.all(board(), now)}.toJson());
     } else if (kind == "suspect") {
         suspected(message, now);
-    } else if (kind == "dump?") {
-        stateAsked(link, message);
-    } else if (kind == "dump") {
-        stateTold(peer.dialled, message);
+    } else if (kind == StateRequest::kind) {
+        stateAsked(link, StateRequest::fromJson(message));
+    } else if (kind == StateReply::kind) {
+        stateTold(peer.dialled, StateReply::fromJson(message));
     } else if (kind == "census?") {
         const CensusRequest request = CensusRequest::fromJson(message);
         adopt({request.epoch, request.voters});
@@ -274,24 +232,61 @@
     }
 }
 
+// The other side of a link says who it is, and hears the same where it dialled.
+void ControlMember::greeted(int link, Peer& peer, const Hello& hello, Nanos now) {
+    peer.kind = hello.sender;
+    peer.station = hello.station;
+    peer.member = hello.member;
+    if (hello.sender == Hello::fromMember) {
+        std::string& known = incarnations_[hello.member];
+        if (!known.empty() && known != hello.incarnation) proposer_.forgets(hello.member, now);
+        known = hello.incarnation;
+        membership_.heard(hello.member, now);
+    }
+    if (!peer.dialled.empty()) {
+        if (hello.core) adopt(*hello.core);
+        return;
+    }
+    const std::string& district = settings_.district;
+    send(link, Hello{Hello::fromMember, self_, settings_.station, district, incarnation_, core_}.toJson());
+    gossip_.join(link, board::Side::acceptor, peer.member);
+}
+
+// A member asks for its lease.
+void ControlMember::roundAsked(int link, const Peer& peer, const Json& message, Nanos now) {
+    const LeaseQuestion question = LeaseQuestion::fromJson(message);
+    if (!peer.member.empty()) calls_.contacts().heard(peer.member, micros(message, "lease_left_us"), now);
+    if (votes() && question.epoch == core_.epoch) {
+        const LeaseAnswer told{question.round, question.epoch, unsettledLeads_.own(board())};
+        send(link, withLeaseLeft(told.toJson()));
+    }
+    // Who was cut off during a change of voters is told of it.
+    if (question.epoch < core_.epoch) send(link, PresentCore{core_}.toJson());
+}
+
+void ControlMember::roundAnswered(int link, const Peer& peer, const Json& message, Nanos now) {
+    calls_.contacts().heard(peer.dialled, micros(message, "lease_left_us"), now);
+    const LeaseAnswer told = LeaseAnswer::fromJson(message);
+    unsettledLeads_.told(told.unsettled, now);
+    // Before the exchange on this link is complete the voter may know of a change that this member doesn't.
+    if (gossip_.complete(link)) lease_.answered(peer.dialled, told, core_);
+}
+
 // Another member reads what this one's disk holds: before a change of voters, or after the loss of its own.
-void ControlMember::stateAsked(int link, const Json& message) {
-    const std::uint64_t epoch = message.at("e");
-    adopt({epoch, message.at("c").get<std::set<std::string>>()});
-    if (epoch < core_.epoch) return send(link, {{"k", "stale"}, {"e", core_.epoch}, {"c", core_.voters}});
+void ControlMember::stateAsked(int link, const StateRequest& request) {
+    adopt(request.core);
+    if (request.core.epoch < core_.epoch) return send(link, PresentCore{core_}.toJson());
     if (!votes()) return;
-    const std::string only = message.value("only", "");  // one register; empty: all
-    Json slots = Json::object();
+    StateReply reply{core_.epoch, {}};
     for (const auto& [name, slot] : acceptor_.all())
-        if (only.empty() || name == only) slots[name] = written(slot);
-    send(link, {{"k", "dump"}, {"e", core_.epoch}, {"slots", std::move(slots)}});
+        if (request.only.empty() || name == request.only) reply.slots[name] = slot;
+    send(link, reply.toJson());
 }
 
-void ControlMember::stateTold(const std::string& voter, const Json& message) {
-    const std::uint64_t epoch = message.at("e");
-    if (!recovering_ || !recovery_.answered(core_, voter, epoch)) return;
-    for (const auto& [name, slot] : message.at("slots").items()) {
-        if (!acceptor_.merge(name, readSlot(slot))) continue;
+void ControlMember::stateTold(const std::string& voter, const StateReply& reply) {
+    if (!recovering_ || !recovery_.answered(core_, voter, reply.epoch)) return;
+    for (const auto& [name, slot] : reply.slots) {
+        if (!acceptor_.merge(name, slot)) continue;
         outputs_.push_back(ToDisk{"slot/" + name, written(acceptor_.at(name))});
         unsettledLeads_.holds(name, acceptor_.at(name).value);
     }
@@ -313,10 +308,9 @@
 void ControlMember::recover(Nanos now) {
     if (!recovering_ || !recovery_.askNow(core_, self_, now)) return;
     if (newestEpochSeen() > core_.epoch) settleCore(now);
-    Json question = {{"k", "dump?"}, {"e", core_.epoch}, {"c", core_.voters}};
-    if (!core_.voters.count(self_)) question["only"] = "core";
+    const StateRequest request{core_, core_.voters.count(self_) ? "" : "core"};
     for (const std::string& voter : core_.voters)
-        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, question);
+        if (const int link = voter == self_ ? 0 : linkTo(voter)) send(link, request.toJson());
 }
 
 // A later epoch was accepted by some voter: it is found out whether it was chosen, and is so held by a
@@ -335,7 +329,7 @@
     adopt(request.core);
     // An earlier epoch's majority may lack what was accepted since: its proposer is told the present one.
     if (request.core.epoch < core_.epoch) {
-        if (link) send(link, {{"k", "stale"}, {"e", core_.epoch}, {"c", core_.voters}});
+        if (link) send(link, PresentCore{core_}.toJson());
         return;
     }
     VoteReply reply{VoteKind::abstains, request.attempt, request.ballot, {}, false, {}};
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -11,12 +11,14 @@
 #include <vector>
 
 #include "board/gossip.hpp"
+#include "board/lease.hpp"
 #include "configuration/configuration.hpp"
 #include "control/call_router.hpp"
 #include "control/departure.hpp"
 #include "control/disk_health.hpp"
 #include "control/lease.hpp"
 #include "control/membership.hpp"
+#include "control/messages.hpp"
 #include "control/operator_calls.hpp"
 #include "control/outputs.hpp"
 #include "control/recovery.hpp"
@@ -112,8 +114,11 @@
     // Whether this voter's disk is too unwell for it to own duties, by what it tells of itself.
     bool disqualified(const std::string& voter) const;
     void flushProposer(Nanos now);
-    void stateAsked(int link, const Json& message);
-    void stateTold(const std::string& voter, const Json& message);
+    void greeted(int link, Peer& peer, const Hello& hello, Nanos now);
+    void roundAsked(int link, const Peer& peer, const Json& message, Nanos now);
+    void roundAnswered(int link, const Peer& peer, const Json& message, Nanos now);
+    void stateAsked(int link, const StateRequest& request);
+    void stateTold(const std::string& voter, const StateReply& reply);
     void recover(Nanos now);
     void settleCore(Nanos now);
     std::uint64_t newestEpochSeen();
--- a/src/proxy/news.cpp
+++ b/src/proxy/news.cpp
@@ -33,12 +33,11 @@
     gossip_.advance(now, lease_.valid(now));
     if (board::isGossip(kind)) {
         gossip_.heard(agentLink, message);
-    } else if (kind == "lease") {
-        const auto asked = leaseQuestions_.answered(message.at("t").get<std::uint64_t>());
+    } else if (kind == board::LeaseReply::kind) {
+        const board::LeaseReply reply = board::LeaseReply::fromJson(message);
+        const auto asked = leaseQuestions_.answered(reply.number);
         if (!asked) return settle();
-        const Nanos left = message.at("left").get<std::int64_t>() * 1000;  // told in microseconds
-        // It counts only once all is here that the agent held when it gave it.
-        lease_.granted(*asked, gossip_.complete(agentLink) ? left : 0, message.at("c"));
+        lease_.granted(*asked, reply, gossip_.complete(agentLink));
         for (auto& [name, of] : services_)
             if (provable(*of)) of->evidence.settledUntil(lease_.until());
         judgeUnproven();
--- a/src/proxy/pooler.cpp
+++ b/src/proxy/pooler.cpp
@@ -144,7 +144,7 @@
 void Pooler::askForLease() {
     if (!agent_ || now_ - askedAt_ < leaseAskEvery) return;
     askedAt_ = now_;
-    outputs_.push_back(ToAgent{{{"k", "lease?"}, {"t", leaseQuestions_.ask(now_)}}});
+    outputs_.push_back(ToAgent{board::LeaseRequest{leaseQuestions_.ask(now_)}.toJson()});
 }
 
 void Pooler::sweepLine(Line& line) {
