--- a/src/control/succession.cpp
+++ b/src/control/succession.cpp
@@ -572,7 +572,8 @@
         const std::string said = row != rows_.end() ? "is at " + granitereel::written(row->second.received)
                                  : heard(store)     ? "has left, its log was heard"
                                                     : "was not heard";
-        all += (all.empty() ? "" : ", ") + store + " " + said;
+        if (!all.empty()) all.append(", ");
+        all.append(store).append(" ").append(said);
     }
     return all;
 }
