--- a/tests/system/members.cpp
+++ b/tests/system/members.cpp
@@ -252,4 +252,20 @@
     EXPECT_FALSE(board.find("front/f1"));
     EXPECT_TRUE(board.find("member/" + self)->body.is_object());
 }
+// A voter that is away for hours is on record as long as the register names it, in contact with a majority or
+// not.
+TEST(Members, TakeDownNoVoter) {
+    World world(3, 0, 4);
+    world.run(millis(2000));
+    const std::string here = World::address(0), away = "member/" + World::address(2);
+    world.kill(World::address(2));
+    const auto& board = static_cast<Succession::Means&>(*world.members[here].control).board();
+    for (const Nanos until = world.now + 2 * board::renewedWithin; world.now < until;) {
+        world.now += millis(49);  // so that each step is one in which members tick
+        world.step();
+    }
+    EXPECT_GT(world.members[here].control->state(world.now)["lease_left_ms"].get<int>(), 0);
+    ASSERT_TRUE(board.find(away));
+    EXPECT_TRUE(board.find(away)->body.is_object());
+}
 }  // namespace
