--- a/standins/databases.cpp
+++ b/standins/databases.cpp
@@ -44,6 +44,16 @@
     replicate();
 }
 
+void Databases::renamed(const std::string& store, const std::string& to) {
+    auto kept = stores_.extract(store);
+    kept.key() = to;
+    kept.mapped().dark = false;
+    stores_.insert(std::move(kept));
+    if (lead_ == store) lead_ = to;
+    std::erase_if(connections_, [&](const auto& each) { return each.second.store == store; });
+    replicate();
+}
+
 void Databases::replicate() {
     const std::vector<Entry>& source = stores_.at(lead_).log;
     for (auto& [name, store] : stores_) {
--- a/standins/databases.hpp
+++ b/standins/databases.hpp
@@ -41,6 +41,8 @@
     // The platform's part. Whether the store leads, with what it had received.
     bool promote(const std::string& store);
     // Faults. Deaf: receives nothing. Dark: answers nothing, runs nothing. A crash cuts its connections.
+    // A store that crashed is back under another name, with its log, and with the lead if it had it.
+    void renamed(const std::string& store, const std::string& to);
     void deaf(const std::string& store, bool on) { stores_.at(store).deaf = on; }
     void dark(const std::string& store, bool on) { stores_.at(store).dark = on; }
     void slow(const std::string& store, bool on);  // received is not applied until it ends
--- a/standins/promotion_rig.hpp
+++ b/standins/promotion_rig.hpp
@@ -195,6 +195,15 @@
         left.clear();
         beat(store);
     }
+    // A store that crashed without a word is back at its address under another name. The record under the old
+    // name stands, as nobody took it down.
+    void returnsAs(const std::string& store, const std::string& to) {
+        databases.renamed(store, to);
+        dark.erase(store);
+        standings.erase(store);
+        addresses[to] = addresses.count(store) ? addresses[store] : store;
+        beat(to);
+    }
     // A client's write at the store that leads, through a front that runs. The store acknowledges it if a
     // replica has it, the front tells the client once its evidence says that it is kept.
     void clientWrites() {
--- a/tests/system/promotion.cpp
+++ b/tests/system/promotion.cpp
@@ -211,6 +211,28 @@
         }
 }
 
+// The lead crashes while a replica is away, and comes back at its address under another name, in the term in
+// which it led. Nothing was promoted, so it leads on; the register names a store that is no more
+// (KNOWN-RED.txt).
+TEST(PromotionRenamed, ALeadThatIsBackUnderAnotherNameLeadsOn) {
+    PromotionRig rig({true, 0, 12, 2, 0});
+    rig.own(*rig.owners[0], true);
+    runWithWrites(rig, millis(1000));
+    rig.crash("s2", true);
+    rig.crash("s0", true);
+    for (int i = 0; i < 20; ++i) rig.suspect(*rig.owners[0], "s0"), rig.run(millis(200));
+    ASSERT_TRUE(rig.lead);
+    EXPECT_FALSE(rig.lead->steady);  // s2 may have the only copy of a commit
+    rig.returnsAs("s0", "s0-again");
+    runWithWrites(rig, millis(4000));
+    EXPECT_EQ(rig.lead->store, "s0-again");
+    EXPECT_TRUE(rig.lead->steady);
+    const std::size_t before = rig.acknowledged.size();
+    runWithWrites(rig, millis(1000));
+    EXPECT_GT(rig.acknowledged.size(), before);
+    for (const std::string& fault : rig.faults) ADD_FAILURE() << fault;
+}
+
 // A long run in which everything goes wrong at random; what must hold at each moment is checked by the rig.
 void runAtRandom(PromotionRig& rig) {
     std::mt19937& chance = rig.chance;
