Writes are told without control where all replicas have them

Cause of the known red system_processes_without_control: since a success is told only under a lease, clients of writes heard INDOUBT while control was away, although nothing could be lost.

Change: where no lease lets a success be told, the proxy asks every replica of the lead's record by STATUS, over connections that were open while the lead was settled, and tells it where all have the write, for 20 s behind the last lease. Control names replicas that are young on the record; the lead's own row stands for all in a planned change only if one that is not young was heard.

The known red test is unchanged; a new one with real processes writes for 3 s behind the end of control.

--- a/src/board/lease.hpp
+++ b/src/board/lease.hpp
@@ -12,6 +12,10 @@
 
 namespace granitereel::board {
 
+// For so long behind the end of its last lease a process may rest on what the records named then, where
+// control makes up for what they lack since (docs/control-safety/promotion.md).
+constexpr Nanos recordsRestedOnFor = millis(20'000);
+
 // The question for the lease, from a process further from the core to one nearer to it.
 struct LeaseRequest {
     static constexpr const char* kind = "lease?";
--- a/src/control/succession.cpp
+++ b/src/control/succession.cpp
@@ -1,8 +1,8 @@
 #include "control/succession.hpp"
 
 #include <algorithm>
-#include <sstream>
 
+#include "board/lease.hpp"
 #include "transport/call_status.hpp"
 
 namespace granitereel::control {
@@ -32,6 +32,9 @@
 constexpr Nanos verifiesWithin = millis(1000);
 // A planned target that doesn't get what the others have by then is given up, so that those receive again.
 constexpr Nanos catchesUpWithin = millis(3000);
+// A replica that is on record for so long is on the record that any proxy may still rest on, which may count
+// a lease from before and a clock that is slow.
+constexpr Nanos longOnRecord = board::recordsRestedOnFor + millis(5000);
 // A store that has left ends within this: it waits no longer for its call's answer.
 constexpr Nanos endsWithin = millis(1000);
 // How often it is looked whether those that stay have what one that left had.
@@ -45,21 +48,11 @@
 constexpr Nanos beatShows = millis(50);
 }  // namespace
 
-std::optional<StoreRow> readRow(const std::string& fields) {
-    std::istringstream in(fields);
-    std::string role, position;
-    StoreRow row;
-    if (!(in >> role >> row.term >> position >> row.held)) return {};
-    row.primary = role == "head_office";
-    if (!row.primary && role != "branch_office") return {};
-    if (const auto mark = readMark(position)) row.received = *mark;
-    return row;
-}
-
 Json written(const Lead& lead) {
     Json body = {{"store", lead.store},       {"term", lead.term},          {"seq", lead.seq},
                  {"fence", lead.fence},       {"holder", lead.holder},      {"steady", lead.steady},
                  {"replicas", lead.replicas}, {"addresses", lead.addresses}};
+    if (!lead.young.empty()) body["young"] = lead.young;
     if (lead.retained) body["retained"] = granitereel::written(*lead.retained);
     return body;
 }
@@ -76,6 +69,7 @@
     lead.replicas = body.at("replicas").get<std::set<std::string>>();
     if (body.contains("addresses"))  // none in what was written before they were kept
         lead.addresses = body["addresses"].get<std::map<std::string, std::string>>();
+    lead.young = body.value("young", std::set<std::string>());
     lead.retained = readMark(body.value("retained", ""));
     return lead;
 }
@@ -166,8 +160,9 @@
     return told != lead.addresses.end() ? told->second : "";
 }
 
-// A store that crashed may be back at its address, with its log, under another name, and its record under the former
-// one stands. Of two names at the lead's address either may be the present one; both mean the lead's own log.
+// A store that crashed may be back at its address, with its log, under another name, and its record under the
+// former one stands. Of two names at the lead's address either may be the present one; both mean the lead's
+// own log.
 bool Succession::isOrWas(const std::string& store, const Lead& lead) const {
     if (store == lead.store) return true;
     const Json* body = record(lead.store);
@@ -233,6 +228,7 @@
 void Succession::own(bool mine, Nanos now) {
     if (mine == mine_) return;
     mine_ = mine;
+    youngSince_.clear();  // who was on record meanwhile is not known
     if (!mine) abandon("left to another member", now);
 }
 
@@ -318,16 +314,34 @@
     std::set<std::string> replicas = lead.replicas;
     for (const std::string& store : listed()) replicas.insert(store);
     std::erase_if(replicas, [&](const std::string& store) { return isOrWas(store, lead); });
-    if (replicas != lead.replicas || addressesOf(replicas, lead) != lead.addresses)
-        return writeReplicas(lead, replicas);
+    const std::set<std::string> young = youngOf(replicas, lead, now);
+    if (replicas != lead.replicas || young != lead.young || addressesOf(replicas, lead) != lead.addresses)
+        return writeReplicas(lead, replicas, young);
     if (std::any_of(replicas.begin(), replicas.end(), [&](const auto& each) { return gone(each); }))
         askForRelease(lead, now);
     else
         goneSince_ = 0;
 }
 
-void Succession::writeReplicas(const Lead& lead, std::set<std::string> replicas) {
+// A replica is young from when it comes on record until one life of an owner has seen it there for long
+// enough.
+std::set<std::string> Succession::youngOf(const std::set<std::string>& replicas, const Lead& lead,
+                                          Nanos now) {
+    std::set<std::string> young;
+    for (const std::string& store : replicas) {
+        const bool isNew = !lead.replicas.count(store);
+        if (!isNew && !lead.young.count(store)) continue;
+        const Nanos since = isNew ? now : youngSince_.try_emplace(store, now).first->second;
+        if (now - since < longOnRecord) young.insert(store);
+    }
+    std::erase_if(youngSince_, [&](const auto& each) { return !young.count(each.first); });
+    return young;
+}
+
+void Succession::writeReplicas(const Lead& lead, std::set<std::string> replicas,
+                               std::set<std::string> young) {
     Lead next = lead;
+    next.young = std::move(young);
     next.addresses = addressesOf(replicas, lead);
     next.replicas = std::move(replicas);
     ++next.seq;
@@ -369,7 +383,8 @@
     if (have < std::max<std::size_t>(1, std::min(sync, staying.size()))) return;
     rows_.clear();
     goneSince_ = 0;
-    writeReplicas(*lead, staying);
+    const std::set<std::string> young = youngOf(staying, *lead, now);
+    writeReplicas(*lead, staying, young);
 }
 
 // Founding: no lead is on record. From the question to the store that says it leads until its answer.
@@ -578,9 +593,10 @@
 }
 
 // An acknowledged commit is on as many replicas as are synchronous: of any others one may be missing. Where
-// the lead itself said how far it was, all that clients were told of is at or below that.
+// the lead itself said how far it was, all that clients were told of under a lease is at or below that; what
+// they were told of since, all replicas have that a proxy knew of.
 bool Succession::enoughHeard() const {
-    if (leadHas_) return true;
+    if (leadHas_ && oneLongOnRecordHeard()) return true;
     std::vector<std::string> needed = others();
     std::erase_if(needed, [&](const std::string& store) { return isOrWas(store, lead_); });
     const auto answering = static_cast<std::size_t>(
@@ -591,6 +607,12 @@
     return !rows_.empty() && answering + mayMiss >= needed.size();
 }
 
+bool Succession::oneLongOnRecordHeard() const {
+    return std::any_of(rows_.begin(), rows_.end(), [&](const auto& each) {
+        return lead_.replicas.count(each.first) && !lead_.young.count(each.first);
+    });
+}
+
 // For the log: who was not heard, and how far the others are.
 std::string Succession::whatIsMissing() const {
     std::string all;
--- a/src/control/succession.hpp
+++ b/src/control/succession.hpp
@@ -15,25 +15,20 @@
 #include "control/outputs.hpp"
 #include "mark.hpp"
 #include "nanos.hpp"
+#include "store_row.hpp"
 
 namespace granitereel::control {
 
-// What a store says of itself: "role term position-received term-held lag-ms busy connections".
-struct StoreRow {
-    bool primary = false;
-    std::uint64_t term = 0;
-    Mark received;
-    std::uint64_t held = 0;  // the newest term it was paused or told to step down at
-};
-std::optional<StoreRow> readRow(const std::string& fields);
-
 // What the register "lead/SERVICE" holds.
 struct Lead {
     std::string store;
     std::uint64_t term = 0, seq = 0, fence = 0;
-    std::string holder;                            // the member that owns the duty
-    bool steady = false;                           // no promotion may be under way
-    std::set<std::string> replicas;                // also those that left and were not released yet
+    std::string holder;              // the member that owns the duty
+    bool steady = false;             // no promotion may be under way
+    std::set<std::string> replicas;  // also those that left and were not released yet
+    // Of the replicas those that are on record for a short while only: a proxy may rest on a record without
+    // them.
+    std::set<std::string> young;
     std::map<std::string, std::string> addresses;  // of the replicas: a log passes on at its address
     // Of the log of the lead before, what this store had for certain when it was promoted; none: not known.
     std::optional<Mark> retained;
@@ -138,7 +133,7 @@
     void tickRising(Nanos now);
     void tickSettling(Nanos now);
     void updateReplicas(const Lead& lead, Nanos now);
-    void writeReplicas(const Lead& lead, std::set<std::string> replicas);
+    void writeReplicas(const Lead& lead, std::set<std::string> replicas, std::set<std::string> young);
     std::map<std::string, std::string> addressesOf(const std::set<std::string>& stores,
                                                    const Lead& before) const;
     bool gone(const std::string& store) const;
@@ -159,6 +154,8 @@
     void leadUnderAnotherName(const Ask& asked, Nanos now);
     void verify(Nanos now);
     bool enoughHeard() const;
+    bool oneLongOnRecordHeard() const;
+    std::set<std::string> youngOf(const std::set<std::string>& replicas, const Lead& lead, Nanos now);
     std::string furthest() const;
     std::string whatIsMissing() const;
     void weigh(Nanos now);
@@ -201,6 +198,7 @@
     bool posted_ = false;  // in this attempt
     Mark targetHas_;       // of the target's row that the call rested on
 
+    std::map<std::string, Nanos> youngSince_;  // young replicas, as far as this life has seen
     Nanos goneSince_ = 0;  // since when a replica on record is known to have left; 0: none has
     std::set<std::string> toResume_, resumed_;  // resumed_: under resumedFence_, by this life
     std::uint64_t resumedFence_ = 0;
--- a/src/proxy/acknowledge.cpp
+++ b/src/proxy/acknowledge.cpp
@@ -8,7 +8,7 @@
 namespace granitereel::proxy {
 
 // The store has answered a write or the COMMIT of one with success.
-void Pooler::acknowledge(Session& s, const Service& of, const Answer& answer) {
+void Pooler::acknowledge(Session& s, Service& of, const Answer& answer) {
     Unproven write{&of, answer, {answer.mark, answer.mark ? answer.mark->term : of.evidence.term(), now_}};
     if (of.evidence.fateOf(write.write) == WriteFate::kept) return reply(s, answer, 'I');
     ++counts_.unproven;
@@ -31,10 +31,11 @@
         }
         Session& s = *at->second;
         const Unproven& waits = *s.op->unproven;
-        const WriteFate fate = waits.service->evidence.fateOf(waits.write);
-        if (fate == WriteFate::open && now_ < s.op->deadline) continue;
+        const bool kept = isKept(waits);
+        const bool open = waits.service->evidence.fateOf(waits.write) == WriteFate::open;
+        if (!kept && open && now_ < s.op->deadline) continue;
         unproven_.erase(client);
-        if (fate == WriteFate::kept) {
+        if (kept) {
             const Answer answer = waits.answer;
             reply(s, answer, 'I');
         } else {
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -93,7 +93,8 @@
     op.preluding = false;
     op.sent = true;
     if (s.tx && op.writes) s.tx->wrote = true;
-    const Service& of = *line.store->service;
+    Service& of = *line.store->service;
+    of.usedAt = now_;
     countWhere(*line.store);
     // A store that has lost the lead refuses what it is asked inside a plain transaction, but for the COMMIT
     // of one that wrote nothing.
@@ -106,6 +107,7 @@
 void Pooler::answered(Line& line, Part part, const Answer& answer) {
     Session* s = line.user;
     line.inTx = answer.state != 'I';
+    if (part == Part::status) return statusAnswered(line, answer);
     // Its values or names are not as they ought to be, or it still holds what it was to roll back: it serves
     // nobody any more, whoever asked.
     if (part == Part::prelude && answer.error) return outOfStep(line);
--- a/src/proxy/lead_evidence.hpp
+++ b/src/proxy/lead_evidence.hpp
@@ -36,6 +36,7 @@
     // the replicas have. It is never taken back, as leases aren't either.
     void settledUntil(Nanos until);
     bool settled(Nanos now) const { return now < settledUntil_; }
+    Nanos settledUntil() const { return settledUntil_; }
     std::uint64_t term() const { return term_; }
     WriteFate fateOf(const AcknowledgedWrite& write) const;
 
--- a/src/proxy/lines.cpp
+++ b/src/proxy/lines.cpp
@@ -101,6 +101,7 @@
     if (word == "READY" && readReady(rest, answer) && answer.state == 'I') {
         line.open = true;
         line.usedAt = now_;
+        line.witness = store.service->evidence.settled(now_);
         if (answer.mark && line.proven) store.service->horizon.saw(*answer.mark, line.askedAt);
         if (std::exchange(line.probe, false)) {
             store.probing = false;
--- a/src/proxy/news.cpp
+++ b/src/proxy/news.cpp
@@ -64,9 +64,12 @@
     // Of what stands on the board only higher versions come here; what was once in force is never gone back
     // from.
     configuration_ = configuration::read(body);
-    configured_ = true;
-    for (const configuration::Service& each : configuration_.services)
-        service(each.name).berthCap = each.berthCap;
+    if (!std::exchange(configured_, true)) configuredAt_ = now_;
+    for (const configuration::Service& each : configuration_.services) {
+        Service& of = service(each.name);
+        of.berthCap = each.berthCap;
+        of.syncReplicas = each.syncReplicas;
+    }
     outputs_.push_back(ToLog{"configuration " + std::to_string(configuration_.edition) + " in force"});
 }
 
@@ -136,6 +139,7 @@
     of.seq = body.at("seq");
     of.steady = body.at("steady");
     of.evidence.recorded(of.term, readMark(body.value("retained", "")));
+    of.replicas.recorded(of.term, body.value("replicas", std::set<std::string>()));
     if (before != of.lead) leadChanged(of, before);
     judgeUnproven();
     resumeDeferred(of);
--- a/src/proxy/pooler.cpp
+++ b/src/proxy/pooler.cpp
@@ -108,8 +108,11 @@
     }
 }
 
+// The first lease comes soon after the configuration where control is there; until then no success of a write
+// could be told. It is not waited for for long: reads are served without it.
 bool Pooler::ready() const {
-    return configured_ && !stores_.empty() && !leaving_;
+    const bool leaseHad = lease_.until() > 0 || now_ - configuredAt_ >= firstLeaseWithin;
+    return configured_ && !stores_.empty() && leaseHad && !leaving_;
 }
 
 void Pooler::leave(Nanos now) {
@@ -133,6 +136,7 @@
         if (!line->dead) sweepLine(*line);
     refuseLate();
     judgeUnproven();
+    askReplicas();
     for (auto& [name, of] : services_) {
         const auto lead = of->stores.find(of->lead);
         if (lead != of->stores.end() && lead->second->windingSince) standing(*lead->second);
--- a/src/proxy/pooler.hpp
+++ b/src/proxy/pooler.hpp
@@ -21,6 +21,7 @@
 #include "proxy/answer.hpp"
 #include "proxy/horizon.hpp"
 #include "proxy/lead_evidence.hpp"
+#include "proxy/replica_evidence.hpp"
 #include "proxy/wire.hpp"
 #include "settings/settings.hpp"
 
@@ -110,6 +111,9 @@
         std::uint64_t term = 0, seq = 0;
         bool steady = false;
         LeadEvidence evidence;
+        ReplicaEvidence replicas;
+        int syncReplicas = 0;
+        Nanos usedAt = 0;          // when a client's statement was last sent to one of its stores
         std::deque<int> deferred;  // clients whose write waits until the lead is settled
         Horizon horizon;
         std::map<std::string, Store*> stores;
@@ -119,7 +123,7 @@
         std::string shape;
         bool operator==(const Prepared&) const = default;
     };
-    enum class Part { prelude, begin, main, cleanup };
+    enum class Part { prelude, begin, main, cleanup, status };
     struct Session;
     struct Line {
         int no = 0;
@@ -133,12 +137,14 @@
         std::deque<Part> expects;
         AnswerReader reader;
         Nanos askedAt = 0, usedAt = 0, heardAt = 0, abandonedAt = 0;
+        // It was open while its service's lead was settled: its store has not started since.
+        bool witness = false;
         // A success of what it was asked last shows that the store had the lead when it was asked.
         bool proven = false;
     };
     // The success of a write whose client was not told yet.
     struct Unproven {
-        const Service* service = nullptr;
+        Service* service = nullptr;
         Answer answer;
         AcknowledgedWrite write;
     };
@@ -230,8 +236,15 @@
     int laneOf(const configuration::Route& route, bool writes, bool transaction);
     void place(Session& s, const std::string& storeId);
     void placeAt(Session& s, Store& store);
-    void acknowledge(Session& s, const Service& of, const Answer& answer);
+    void acknowledge(Session& s, Service& of, const Answer& answer);
     void judgeUnproven();
+    bool isKept(const Unproven& waits) const;
+    void askReplicas();
+    bool restsOnRecord(const Service& of) const;
+    void prepareWitnesses(Service& of);
+    void askReplica(Store& replica);
+    Line* witnessOf(const Store& replica) const;
+    void statusAnswered(Line& line, const Answer& answer);
     bool defersWrites(const Service& of) const;
     void defer(Session& s, Service& of);
     void resumeDeferred(Service& of);
@@ -290,7 +303,7 @@
     Front front_;
     configuration::Configuration configuration_;
     bool configured_ = false, leaving_ = false, agent_ = false;
-    Nanos leftAt_ = 0, askedAt_ = 0, sweptAt_ = 0;
+    Nanos leftAt_ = 0, askedAt_ = 0, sweptAt_ = 0, configuredAt_ = 0;
     std::uint64_t keyNo_ = 0;
     board::LeaseQuestions leaseQuestions_;
     board::HeldLease lease_;
--- a/src/proxy/timing.hpp
+++ b/src/proxy/timing.hpp
@@ -14,6 +14,14 @@
 inline constexpr int comeBack_ms = 100;
 // Three questions for the lease fit into one.
 inline constexpr Nanos leaseAskEvery = millis(200);
+// A proxy that has a configuration says that it is ready without a lease after this.
+inline constexpr Nanos firstLeaseWithin = millis(1'000);
+// Where less than this is left of the last lease, it is late, and connections to replicas are opened while it
+// runs: a process that asks in time has more.
+inline constexpr Nanos leaseLate = millis(400);
+// A service that was asked for something within this is worth connections that only show what its replicas
+// have.
+inline constexpr Nanos inUse = millis(10'000);
 inline constexpr Nanos sweepEvery = millis(50);
 // A lead that is asked and says nothing for so long is told to control, again after as long.
 inline constexpr Nanos silent = millis(250);
--- a/standins/databases.cpp
+++ b/standins/databases.cpp
@@ -48,12 +48,24 @@
     auto kept = stores_.extract(store);
     kept.key() = to;
     kept.mapped().dark = false;
+    kept.mapped().paused = 0;
     stores_.insert(std::move(kept));
     if (lead_ == store) lead_ = to;
     std::erase_if(connections_, [&](const auto& each) { return each.second.store == store; });
     replicate();
 }
 
+void Databases::restarted(const std::string& store) {
+    stores_.at(store).paused = 0;
+    std::erase_if(connections_, [&](const auto& each) { return each.second.store == store; });
+    replicate();
+}
+
+void Databases::joins(const std::string& store) {
+    stores_[store];
+    replicate();
+}
+
 void Databases::replicate() {
     const std::vector<Entry>& source = stores_.at(lead_).log;
     for (auto& [name, store] : stores_) {
--- a/standins/databases.hpp
+++ b/standins/databases.hpp
@@ -33,6 +33,7 @@
     int connect(const std::string& store);
     std::optional<std::string> said(int connection, const std::string& line);
     void closed(int connection);
+    bool open(int connection) const { return connections_.count(connection) > 0; }
     // The answer of a store that does not run what it was asked.
     std::string refusal(int connection, const std::string& error) {
         return failed(connections_.at(connection), error);
@@ -43,6 +44,10 @@
     // Faults. Deaf: receives nothing. Dark: answers nothing, runs nothing. A crash cuts its connections.
     // A store that crashed is back under another name, with its log, and with the lead if it had it.
     void renamed(const std::string& store, const std::string& to);
+    // It starts again under its name, with its log: its connections are gone, and a pause.
+    void restarted(const std::string& store);
+    // A replica that is new to the service.
+    void joins(const std::string& store);
     void deaf(const std::string& store, bool on) { stores_.at(store).deaf = on; }
     void dark(const std::string& store, bool on) { stores_.at(store).dark = on; }
     void slow(const std::string& store, bool on);  // received is not applied until it ends
--- a/standins/poolerrig.cpp
+++ b/standins/poolerrig.cpp
@@ -21,7 +21,7 @@
 }
 }  // namespace
 
-PoolerRig::PoolerRig(int stores, int sync) : databases("svc", stores, sync) {
+PoolerRig::PoolerRig(int stores, int sync, bool leased) : databases("svc", stores, sync), leases(leased) {
     pooler = std::make_unique<proxy::Pooler>(settings(), 7, now);
     pooler->agentUp(now);
     config(1);
@@ -78,6 +78,12 @@
     ++seq_;
     json body{{"store", store}, {"term", databases.term()}, {"seq", seq_}, {"steady", steady}};
     if (!retained.empty()) body["retained"] = retained;
+    if (replicasOnRecord) {
+        std::set<std::string> replicas;
+        for (const std::string& name : databases.names())
+            if (name != store) replicas.insert(name);
+        body["replicas"] = replicas;
+    }
     pooler->agentSaid({{"k", "news"}, {"r", {{{"n", "lead/svc"}, {"v", {seq_, 0}}, {"b", body}}}}}, now);
     carry();
 }
--- a/standins/poolerrig.hpp
+++ b/standins/poolerrig.hpp
@@ -23,7 +23,7 @@
 
 class PoolerRig {
 public:
-    explicit PoolerRig(int stores = 3, int sync = 1);
+    explicit PoolerRig(int stores = 3, int sync = 1, bool leased = true);
 
     Databases databases{"svc", 3, 1};
     std::unique_ptr<proxy::Pooler> pooler;
@@ -66,6 +66,7 @@
     void standing(const std::string& store, const std::string& standing, const std::string& role = "",
                   const std::string& address = "");
     bool leases = true;     // whether questions for the lease are answered
+    bool replicasOnRecord = false;  // whether the record of the lead names the replicas
     bool exchanges = true;  // whether the agent completes the exchange of boards on a new link
 
     std::vector<nlohmann::json> toCourier;
--- a/standins/promotion_rig.hpp
+++ b/standins/promotion_rig.hpp
@@ -15,7 +15,9 @@
 #include <vector>
 
 #include "control/succession.hpp"
+#include "board/lease.hpp"
 #include "proxy/lead_evidence.hpp"
+#include "proxy/replica_evidence.hpp"
 #include "standins/databases.hpp"
 
 namespace granitereel::standins {
@@ -31,6 +33,8 @@
         int owners = 2;
         std::optional<Nanos> postWay = {}, promoteTakes = {};  // none: at random
         int lostInHundred = 0;           // of calls to stores and to the platform, requests and answers alike
+        bool provesByReplicas = false;   // fronts that are cut off from control ask replicas; these start and join
+        bool provesOnAnyConnection = false;  // broken: also on those made since the last lease
         bool comesBackRenamed = false;   // stores that crash come back under other names
         bool startsAtAnyMoment = false;  // also between a replica's pause and the promotion that rests on it
     };
@@ -105,9 +109,11 @@
     struct Front {
         Nanos leaseUntil = 0, askedAt = 0;
         std::string store;
-        bool frozen = false;
+        bool frozen = false, cutOff = false;
         std::uint64_t heardSeq = 0;
         proxy::LeadEvidence evidence;
+        proxy::ReplicaEvidence replicas;
+        std::map<std::string, int> witnesses;  // connections to replicas made while the lead was settled
         std::vector<std::pair<std::string, proxy::AcknowledgedWrite>> unproven;  // by the write's id
     };
 
@@ -226,10 +232,37 @@
         databases.closed(line);
         judge(front);
     }
+    // A replica that starts again under its name.
+    void restarts(const std::string& store) { databases.restarted(store); }
+    void joins(const std::string& store) {
+        databases.joins(store);
+        beat(store);
+    }
+    // Rows come one by one: at each look only some replicas are asked.
+    void askReplicas(Front& front) {
+        if (front.unproven.empty()) return;
+        if (options.provesOnAnyConnection) openWitnesses(front);
+        for (const auto& [store, connection] : front.witnesses) {
+            if (!databases.open(connection) || chance() % 2) continue;
+            const auto told = databases.said(connection, "QUERY - STATUS");
+            const auto row = told ? rowOf(*told) : std::nullopt;
+            if (row) front.replicas.told(store, *row);
+        }
+    }
+    bool provenByReplicas(const Front& front, const proxy::AcknowledgedWrite& write) const {
+        return options.provesByReplicas && write.position &&
+               now < front.evidence.settledUntil() + board::recordsRestedOnFor &&
+               front.replicas.holds(*write.position, 1);
+    }
     // Tells clients of writes that are kept; those of which nothing is known are in doubt.
     void judge(Front& front) {
+        if (options.provesByReplicas) askReplicas(front);
         std::erase_if(front.unproven, [&](const auto& each) {
-            const proxy::WriteFate fate = front.evidence.fateOf(each.second);
+            proxy::WriteFate fate = front.evidence.fateOf(each.second);
+            if (fate == proxy::WriteFate::open && provenByReplicas(front, each.second)) {
+                fate = proxy::WriteFate::kept;
+                ++provenAlone;
+            }
             if (fate == proxy::WriteFate::kept) acknowledged.push_back(each.first);
             if (fate == proxy::WriteFate::unknown) ++doubtful;
             return fate != proxy::WriteFate::open;
@@ -251,6 +284,9 @@
             if (turn % 500 == 0)
                 for (const auto& [store, standing] : std::map(standings)) beat(store, standing);
             for (Front& front : fronts) readUnderLease(front);
+            if (options.provesByReplicas && turn % 50 == 0)
+                for (Front& front : fronts)
+                    if (!front.frozen) judge(front);
         }
     }
     // Replicas that stand still, by what they say themselves.
@@ -285,7 +321,8 @@
         return lead->steady || lead->replicas.count(left) > 0;
     }
     std::vector<std::string> acknowledged, faults;
-    int doubtful = 0;  // writes of whose fate the client was told nothing
+    int provenAlone = 0;  // writes told by what the replicas said
+    int doubtful = 0;     // writes of whose fate the client was told nothing
     static constexpr Nanos frontLease = millis(700);
 
 private:
@@ -338,8 +375,19 @@
         databases.said(line, "GREET svc control " + store);
         const auto told = databases.said(line, "QUERY - " + text);
         databases.closed(line);
-        if (!told || !told->starts_with("ROW ")) return std::nullopt;
-        return readRow(told->substr(4, told->find("\r\n") - 4));
+        return told ? rowOf(*told) : std::nullopt;
+    }
+    static std::optional<StoreRow> rowOf(const std::string& told) {
+        if (!told.starts_with("ROW ")) return std::nullopt;
+        return readRow(told.substr(4, told.find("\r\n") - 4));
+    }
+    void openWitnesses(Front& front) {
+        for (const std::string& store : front.replicas.replicas()) {
+            int& connection = front.witnesses[store];
+            if (databases.open(connection) || !standings.count(store) || dark.count(store)) continue;
+            connection = databases.connect(store);
+            databases.said(connection, "GREET svc w " + store);
+        }
     }
     void leave(Owner& owner, const ToStore& ask) {
         const auto none = [&owner, no = ask.ask] {
@@ -404,7 +452,7 @@
                          std::to_string(seen.fence) + " by " + seen.holder);
     }
     void readUnderLease(Front& front) {
-        if (now - front.askedAt >= millis(200) && !front.frozen) {
+        if (now - front.askedAt >= millis(200) && !front.frozen && !front.cutOff) {
             front.askedAt = now;
             at(now + delay(), [this, &front, asked = now] {
                 if (!lead) return;
@@ -415,7 +463,10 @@
                     if (record.seq < front.heardSeq) return;  // overtaken by a later record
                     front.heardSeq = record.seq;
                     front.evidence.recorded(record.term, record.retained);
+                    front.replicas.recorded(record.term, record.replicas);
                     if (record.steady) front.evidence.settledUntil(asked + frontLease);
+                    if (options.provesByReplicas && front.evidence.settled(now) && !front.frozen)
+                        openWitnesses(front);
                     if (!front.frozen) judge(front);
                 });
             });
--- a/tests/system/acknowledgements.cpp
+++ b/tests/system/acknowledgements.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "proxy/lead_evidence.hpp"
+#include "proxy/replica_evidence.hpp"
 #include "standins/poolerrig.hpp"
 #include "standins/succession_rig.hpp"
 
@@ -93,6 +94,151 @@
     EXPECT_EQ(evidence.fateOf({Mark{2, 1}, 2, 0}), WriteFate::unknown);
 }
 
+StoreRow replicaRow(std::uint64_t term, Mark received) {
+    StoreRow row;
+    row.term = term;
+    row.received = received;
+    return row;
+}
+
+TEST(ReplicaEvidence, HoldsWhatEveryReplicaOnRecordHasReceivedInItsTerm) {
+    proxy::ReplicaEvidence evidence;
+    evidence.recorded(3, {"s1", "s2"});
+    EXPECT_FALSE(evidence.holds({3, 7}, 1));
+    evidence.told("s1", replicaRow(3, {3, 7}));
+    EXPECT_FALSE(evidence.holds({3, 7}, 1));
+    evidence.told("s2", replicaRow(3, {3, 9}));
+    EXPECT_TRUE(evidence.holds({3, 7}, 1));
+    EXPECT_FALSE(evidence.holds({3, 8}, 1));
+    evidence.told("s2", replicaRow(3, {3, 6}));  // an earlier row that comes late takes nothing back
+    EXPECT_TRUE(evidence.holds({3, 7}, 1));
+    EXPECT_FALSE(evidence.holds({2, 1}, 1));  // of another term: may have been cut back
+    evidence.recorded(3, {"s1", "s2", "s3"});
+    EXPECT_FALSE(evidence.holds({3, 7}, 1));
+}
+
+TEST(ReplicaEvidence, CountsNoRowOfAnotherTermOrOfAPrimary) {
+    proxy::ReplicaEvidence evidence;
+    evidence.recorded(3, {"s1"});
+    evidence.told("s1", replicaRow(4, {3, 7}));  // follows the next lead: its log may be cut back
+    evidence.told("s1", replicaRow(3, {2, 7}));
+    StoreRow leads = replicaRow(3, {3, 7});
+    leads.primary = true;
+    evidence.told("s1", leads);
+    EXPECT_FALSE(evidence.holds({3, 7}, 1));
+    evidence.told("s1", replicaRow(3, {3, 7}));
+    EXPECT_TRUE(evidence.holds({3, 7}, 1));
+    EXPECT_FALSE(evidence.holds({3, 7}, 2));  // the record names fewer than are synchronous
+    evidence.recorded(4, {"s1"});
+    EXPECT_FALSE(evidence.holds({4, 1}, 1));
+}
+
+TEST(ReplicaEvidence, HoldsNothingWithoutReplicasOnRecord) {
+    proxy::ReplicaEvidence evidence;
+    evidence.recorded(3, {});
+    EXPECT_FALSE(evidence.holds({3, 7}, 0));
+    EXPECT_FALSE(evidence.holds({3, 7}, 1));
+}
+
+// A proxy whose record of the lead names the replicas, without a lease for a while. A session reads on
+// meanwhile.
+struct WithoutControl {
+    PoolerRig rig;
+    int client = 0;
+    WithoutControl() {
+        rig.replicasOnRecord = true;
+        rig.lead("s0");
+        client = opened(rig);
+        EXPECT_TRUE(succeeded(rig.ask(client, "QUERY w0 WRITE x 1")));
+        rig.leases = false;
+        rig.run(millis(750));  // connections to the replicas are made while the last lease runs
+    }
+};
+
+TEST(ReplicaEvidence, TellsASuccessWithoutALeaseWhereAllReplicasHaveTheWrite) {
+    for (const bool transaction : {false, true}) {
+        WithoutControl without;
+        PoolerRig& rig = without.rig;
+        EXPECT_TRUE(writes(rig, without.client, transaction).empty());
+        rig.run(millis(100));
+        EXPECT_TRUE(succeeded(rig.told(without.client)));
+        EXPECT_EQ(rig.databases.effects("w1"), 1);
+        // One question to each replica.
+        EXPECT_EQ(sent(rig, "STATUS"), 2u);
+    }
+}
+
+TEST(ReplicaEvidence, AWriteThatOneReplicaLacksIsInDoubtUntilItHasIt) {
+    for (const bool receives : {false, true}) {
+        WithoutControl without;
+        PoolerRig& rig = without.rig;
+        rig.databases.deaf("s2", true);
+        EXPECT_TRUE(writes(rig, without.client, false).empty());
+        rig.run(millis(500));
+        EXPECT_TRUE(rig.told(without.client).empty());
+        if (receives) rig.databases.deaf("s2", false);
+        rig.databases.slow("s1", false);  // replicates
+        rig.run(millis(600));
+        const Lines told = rig.told(without.client);
+        EXPECT_EQ(succeeded(told), receives) << first(told);
+        EXPECT_EQ(inDoubt(told), !receives) << first(told);
+    }
+}
+
+// A replica that starts again has forgotten a pause, so what it says on a connection made since the last
+// lease proves nothing: the target of a promotion may have been chosen already.
+TEST(ReplicaEvidence, AReplicaThatStartedSinceTheLastLeaseProvesNothing) {
+    WithoutControl without;
+    PoolerRig& rig = without.rig;
+    rig.cutAll("s2");
+    EXPECT_TRUE(writes(rig, without.client, false).empty());
+    rig.run(millis(1200));
+    EXPECT_TRUE(inDoubt(rig.told(without.client)));
+}
+
+TEST(ReplicaEvidence, AConnectionThatOpensBehindTheLastLeaseProvesNothing) {
+    PoolerRig rig;
+    rig.replicasOnRecord = true;
+    rig.lead("s0");
+    const int c = opened(rig);
+    EXPECT_TRUE(succeeded(rig.ask(c, "QUERY w0 WRITE x 1")));
+    rig.leases = false;
+    rig.pass(millis(750));  // asked for while it runs, but no store answers in that time
+    EXPECT_TRUE(writes(rig, c, false).empty());
+    ASSERT_FALSE(rig.linesTo("s1").empty());
+    ASSERT_FALSE(rig.linesTo("s2").empty());
+    rig.run(millis(1200));
+    EXPECT_TRUE(inDoubt(rig.told(c)));
+}
+
+// The record may lack a replica that came since; control makes up for that for a bounded time only.
+TEST(ReplicaEvidence, LongBehindTheLastLeaseTheRecordIsNotRestedOn) {
+    WithoutControl without;
+    PoolerRig& rig = without.rig;
+    for (int i = 0; i < 18; ++i) {
+        EXPECT_TRUE(succeeded(rig.ask(without.client, "QUERY v" + std::to_string(i) + " WRITE x 1"))) << i;
+        rig.run(millis(1000));
+    }
+    rig.run(millis(2500));
+    rig.say(without.client, "QUERY late WRITE x 1");
+    rig.run(millis(1200));
+    EXPECT_TRUE(inDoubt(rig.told(without.client)));
+    rig.leases = true;
+    rig.run(millis(300));
+    EXPECT_TRUE(succeeded(rig.ask(without.client, "QUERY again WRITE x 1")));
+}
+
+TEST(ReplicaEvidence, AProxyIsReadyWithItsFirstLeaseOrAWhileAfterItsConfiguration) {
+    for (const bool leased : {false, true}) {
+        PoolerRig rig(3, 1, leased);
+        EXPECT_EQ(rig.pooler->ready(), leased);
+        rig.pass(millis(900));
+        EXPECT_EQ(rig.pooler->ready(), leased);
+        rig.pass(millis(200));
+        EXPECT_TRUE(rig.pooler->ready());
+    }
+}
+
 TEST(Acknowledgements, ASuccessWithoutALeaseIsToldOnceThereIsOneAgain) {
     for (const bool transaction : {false, true}) {
         PoolerRig rig;
--- a/tests/system/processes.cpp
+++ b/tests/system/processes.cpp
@@ -145,4 +145,27 @@
     EXPECT_TRUE(site.until([&] { return site.put(1, "/config", site.configuration(7, "late")) == 200; }));
     site.logged("proxy", "configuration 7 in force");
 }
+
+// Behind the end of the last lease a write's success is told by what the replicas say; a write that one of
+// them lacks stays in doubt.
+TEST(Processes, TellWritesByTheirReplicasWhileControlIsAway) {
+    Site site(3, 21400);
+    startAll(site, 3);
+    WireClient client(site.frontAddress(), "primary");
+    for (int i = 0; i < 3; ++i) site.signal("control-" + std::to_string(i), SIGSTOP);
+    const auto stopped = std::chrono::steady_clock::now();
+    int told = 0;
+    while (std::chrono::steady_clock::now() - stopped < std::chrono::milliseconds(3000)) {
+        EXPECT_EQ(first(client.ask("QUERY w" + std::to_string(told) + " WRITE x 1")).substr(0, 4), "DONE");
+        ++told;
+    }
+    EXPECT_GT(told, 10);
+    site.with([](Databases& d) { return d.deaf("s2", true), 0; });
+    EXPECT_EQ(first(client.ask("QUERY alone WRITE x 1")).substr(0, 13), "ERROR INDOUBT");
+    EXPECT_EQ(site.with([](Databases& d) { return d.effects("alone"); }), 1);
+    site.with([](Databases& d) { return d.deaf("s2", false), 0; });
+    EXPECT_EQ(first(client.ask("QUERY both WRITE x 1")).substr(0, 4), "DONE");
+    for (int i = 0; i < 3; ++i) site.signal("control-" + std::to_string(i), SIGCONT);
+    EXPECT_TRUE(site.until([&] { return site.put(1, "/config", site.configuration(7, "late")) == 200; }));
+}
 }  // namespace
--- a/tests/system/promotion.cpp
+++ b/tests/system/promotion.cpp
@@ -239,8 +239,8 @@
     expectWhole(rig, "crashed again");
 }
 
-// A replica crashes and comes back at its address under another name, which has its log; then the lead crashes.
-// The former name is not waited for, and what the replica alone had is not lost.
+// A replica crashes and comes back at its address under another name, which has its log; then the lead
+// crashes. The former name is not waited for, and what the replica alone had is not lost.
 TEST(PromotionRenamed, AReplicaThatIsBackUnderAnotherNameIsHeard) {
     for (const bool alone : {false, true}) {
         PromotionRig rig({true, 0, 13, 2, 0});
@@ -305,6 +305,11 @@
         if (oneIn(60)) rig.beat(store, oneIn(2) ? "winding_down" : "accepting");
         if (rig.options.comesBackRenamed && !rig.dark.empty() && oneIn(30))
             rig.returnsAs(std::string(*rig.dark.begin()), "r" + std::to_string(turn));
+        if (rig.options.provesByReplicas) {
+            for (auto& front : rig.fronts) front.cutOff = front.cutOff ? !oneIn(60) : oneIn(20);
+            if (oneIn(8) && store != rig.databases.lead() && !rig.dark.count(store)) rig.restarts(store);
+            if (oneIn(80) && rig.databases.names().size() < 5) rig.joins("j" + std::to_string(turn));
+        }
         for (auto& front : rig.fronts) front.frozen = front.frozen ? !oneIn(20) : oneIn(60);
         runWithWrites(rig, millis(200));
     }
@@ -319,7 +324,7 @@
         rig.synchronise(*owner);
         rig.own(*owner, false);
     }
-    for (auto& front : rig.fronts) front.frozen = false;
+    for (auto& front : rig.fronts) front.frozen = front.cutOff = false;
     rig.run(millis(4000));  // what was asked for is over
     if (!rig.left.empty()) rig.logPassesTo(rig.left, "last");
     rig.own(*rig.owners.front(), true);
@@ -372,6 +377,108 @@
     }
 }
 
+// Fronts that are cut off from control tell of writes by what the replicas say, while these start again at
+// any moment and others join that the fronts know nothing of.
+TEST(PromotionProofs, KeepEveryRuleWhereFrontsAreCutOffFromControl) {
+    const char* told = std::getenv("SEEDS");
+    const unsigned seeds = told ? static_cast<unsigned>(std::atoi(told)) : 24;
+    int provenAlone = 0;
+    for (unsigned seed = 1; seed <= seeds && !HasFailure(); ++seed) {
+        PromotionRig::Options options;
+        options.seed = seed;
+        options.owners = 3;
+        options.provesByReplicas = true;
+        PromotionRig rig(options);
+        runAtRandom(rig);
+        expectWhole(rig, "seed " + std::to_string(seed) + " ");
+        provenAlone += rig.provenAlone;
+    }
+    EXPECT_GT(provenAlone, 50);
+}
+
+// Why only connections count that were made while the lead was settled: all replicas that a front knows of
+// are paused, start again, and receive a commit that the chosen target, which came since, lacks.
+TEST(PromotionProofs, AReplicaThatStartsAgainProvesNothingOnANewConnection) {
+    for (const bool onAnyConnection : {false, true}) {
+        PromotionRig::Options options;
+        options.postWay = millis(5);
+        options.promoteTakes = millis(400);
+        options.provesByReplicas = true;
+        options.provesOnAnyConnection = onAnyConnection;
+        PromotionRig rig(options);
+        rig.own(*rig.owners[0], true);
+        runWithWrites(rig, millis(1500));
+        for (auto& front : rig.fronts) front.cutOff = true;
+        rig.joins("s3");
+        rig.run(millis(800));
+        for (const char* known : {"s1", "s2"}) rig.databases.deaf(known, true);
+        rig.clientWrites();  // s3 alone has it, and is the target therefore
+        rig.hiddenFromControl = {"s0"};
+        rig.suspect(*rig.owners[0], "s0");
+        for (int ms = 0; ms < 3000 && rig.pausedReplicas().size() < 3; ++ms) rig.run(millis(1));
+        ASSERT_EQ(rig.pausedReplicas().size(), 3u);
+        for (const char* known : {"s1", "s2"}) {
+            rig.databases.deaf(known, false);
+            rig.restarts(known);
+        }
+        const std::size_t before = rig.acknowledged.size();
+        rig.clientWrites();
+        rig.run(millis(3000));
+        EXPECT_EQ(rig.databases.lead(), "s3");
+        EXPECT_EQ(rig.acknowledged.size() > before, onAnyConnection);
+        EXPECT_EQ(rig.faults.empty(), !onAnyConnection);
+    }
+}
+
+// A planned change whose target came after the fronts were cut off, with every other replica hidden from
+// control: what the fronts told of by those replicas alone, behind the lead's own row, must not be passed
+// over.
+TEST(PromotionProofs, APlannedChangeRestsOnAReplicaThatFrontsKnowOf) {
+    for (int deafAfter_ms = 700; deafAfter_ms < 1000; deafAfter_ms += 3) {
+        PromotionRig::Options options;
+        options.seed = 14;
+        options.postWay = millis(5);
+        options.promoteTakes = millis(300);
+        options.provesByReplicas = true;
+        PromotionRig rig(options);
+        rig.own(*rig.owners[0], true);
+        runWithWrites(rig, millis(1500));
+        for (auto& front : rig.fronts) front.cutOff = true;
+        rig.joins("s3");
+        rig.run(millis(700));
+        for (const char* ends : {"s0", "s1", "s2"}) rig.beat(ends, "winding_down");
+        rig.hiddenFromControl = {"s1", "s2"};
+        rig.run(millis(deafAfter_ms));
+        rig.databases.deaf("s3", true);
+        for (int i = 0; i < 3; ++i) rig.clientWrites(), rig.run(millis(150));
+        rig.databases.deaf("s3", false);
+        rig.run(millis(6000));
+        for (const std::string& fault : rig.faults) ADD_FAILURE() << deafAfter_ms << ": " << fault;
+        rig.hiddenFromControl.clear();
+        for (auto& front : rig.fronts) front.cutOff = false;
+        for (const char* stays : {"s1", "s2"}) rig.beat(stays);
+        rig.run(millis(8000));
+        expectWhole(rig, std::to_string(deafAfter_ms) + " ");
+        EXPECT_NE(rig.databases.lead(), "s0");
+    }
+}
+
+TEST(PromotionProofs, AReplicaIsYoungUntilOneOwnerHasSeenItLongEnough) {
+    PromotionRig rig({true, 0, 15, 2});
+    rig.own(*rig.owners[0], true);
+    rig.run(millis(1500));
+    EXPECT_TRUE(rig.lead->young.empty());  // all were there when the lead was found
+    rig.joins("s3");
+    rig.run(millis(20'000));
+    EXPECT_EQ(rig.lead->young, std::set<std::string>({"s3"}));
+    rig.own(*rig.owners[0], false);  // another owner has not seen since when
+    rig.own(*rig.owners[1], true);
+    rig.run(millis(24'000));
+    EXPECT_EQ(rig.lead->young, std::set<std::string>({"s3"}));
+    rig.run(millis(2000));
+    EXPECT_TRUE(rig.lead->young.empty());
+}
+
 // Stores that crash come back under other names, at any moment, again and again.
 TEST(PromotionRenamed, KeepEveryRuleUnderRandomFaults) {
     const char* told = std::getenv("SEEDS");
