Replicas' ages are kept in the lead's record; a log passed on by address is not young

Change: ages in whole steps in the record (ReplicaAges, a module of its own), counted on by every member; a store at the address of a replica that was not young has its log and is not young. A proxy is ready once every service's lead was settled once: a lease alone may come before the record (the process test failed so once).

--- /dev/null
+++ b/src/control/replica_ages.hpp
@@ -0,0 +1,39 @@
+// For how long replicas have been on the record of a lead. A proxy that is cut off rests on the record that
+// it had for a bounded time (board::recordsRestedOnFor): once a replica is older than that, any proxy that
+// still does so knows of it. Ages are kept in the record, in whole steps, so that they outlive the member
+// that counts them; what passes between two steps or while nobody counts is left out, never made up. Free of
+// I/O and clocks.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "board/lease.hpp"
+#include "nanos.hpp"
+
+namespace granitereel::control {
+
+// Replicas that a proxy may not know of yet, with their ages in steps.
+using YoungReplicas = std::map<std::string, unsigned>;
+
+class ReplicaAges {
+public:
+    // A replica of so many steps is young no more: any proxy that rests on a record knows of it, also one
+    // that counts from a lease before and whose clock is slow.
+    static constexpr unsigned grownUp = 3;
+    static constexpr Nanos step = (board::recordsRestedOnFor + millis(5000)) / grownUp;
+
+    // What the record says now.
+    void note(const YoungReplicas& onRecord, Nanos now);
+    // In steps, at most `grownUp`; 0: not seen on record yet.
+    unsigned age(const std::string& replica, Nanos now) const;
+
+private:
+    struct Seen {
+        unsigned age = 0;  // at `since`, in steps
+        Nanos since = 0;
+    };
+    std::map<std::string, Seen> seen_;
+};
+
+}  // namespace granitereel::control
--- a/src/control/succession.cpp
+++ b/src/control/succession.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "board/lease.hpp"
 #include "transport/call_status.hpp"
 
 namespace granitereel::control {
@@ -32,9 +31,10 @@
 constexpr Nanos verifiesWithin = millis(1000);
 // A planned target that doesn't get what the others have by then is given up, so that those receive again.
 constexpr Nanos catchesUpWithin = millis(3000);
-// A replica that is on record for so long is on the record that any proxy may still rest on, which may count
-// a lease from before and a clock that is slow.
-constexpr Nanos longOnRecord = board::recordsRestedOnFor + millis(5000);
+// How often it is looked which replicas are young.
+constexpr Nanos noteAgain = millis(1000);
+// Of this many released replicas it is kept where their logs pass on; beyond, their heirs are young.
+constexpr std::size_t vacatedMost = 16;
 // A store that has left ends within this: it waits no longer for its call's answer.
 constexpr Nanos endsWithin = millis(1000);
 // How often it is looked whether those that stay have what one that left had.
@@ -53,6 +53,7 @@
                  {"fence", lead.fence},       {"holder", lead.holder},      {"steady", lead.steady},
                  {"replicas", lead.replicas}, {"addresses", lead.addresses}};
     if (!lead.young.empty()) body["young"] = lead.young;
+    if (!lead.vacated.empty()) body["vacated"] = lead.vacated;
     if (lead.retained) body["retained"] = granitereel::written(*lead.retained);
     return body;
 }
@@ -69,7 +70,8 @@
     lead.replicas = body.at("replicas").get<std::set<std::string>>();
     if (body.contains("addresses"))  // none in what was written before they were kept
         lead.addresses = body["addresses"].get<std::map<std::string, std::string>>();
-    lead.young = body.value("young", std::set<std::string>());
+    lead.young = body.value("young", YoungReplicas());
+    lead.vacated = body.value("vacated", std::set<std::string>());
     lead.retained = readMark(body.value("retained", ""));
     return lead;
 }
@@ -228,7 +230,6 @@
 void Succession::own(bool mine, Nanos now) {
     if (mine == mine_) return;
     mine_ = mine;
-    youngSince_.clear();  // who was on record meanwhile is not known
     if (!mine) abandon("left to another member", now);
 }
 
@@ -241,6 +242,7 @@
 }
 
 void Succession::tick(Nanos now) {
+    noteYoung(now);
     if (!mine_ || changing_) return;
     switch (phase_) {
         case Phase::idle:
@@ -314,7 +316,7 @@
     std::set<std::string> replicas = lead.replicas;
     for (const std::string& store : listed()) replicas.insert(store);
     std::erase_if(replicas, [&](const std::string& store) { return isOrWas(store, lead); });
-    const std::set<std::string> young = youngOf(replicas, lead, now);
+    const YoungReplicas young = youngOf(replicas, lead, now);
     if (replicas != lead.replicas || young != lead.young || addressesOf(replicas, lead) != lead.addresses)
         return writeReplicas(lead, replicas, young);
     if (std::any_of(replicas.begin(), replicas.end(), [&](const auto& each) { return gone(each); }))
@@ -323,25 +325,55 @@
         goneSince_ = 0;
 }
 
-// A replica is young from when it comes on record until one life of an owner has seen it there for long
-// enough.
-std::set<std::string> Succession::youngOf(const std::set<std::string>& replicas, const Lead& lead,
-                                          Nanos now) {
-    std::set<std::string> young;
+// Whether the log of a replica that is not young has passed on to the store: it is at its address.
+bool Succession::hasLogOfKnown(const std::string& store, const Lead& lead) const {
+    const std::string address = addressOf(store, lead);
+    if (address.empty()) return false;
+    if (lead.vacated.count(address)) return true;
+    return std::any_of(lead.replicas.begin(), lead.replicas.end(), [&](const std::string& known) {
+        return !lead.young.count(known) && addressOf(known, lead) == address;
+    });
+}
+
+// An address that another service's store has taken passes no log of this one on any more.
+std::set<std::string> Succession::vacatedBehind(const Lead& lead,
+                                                const std::set<std::string>& replicas) const {
+    std::set<std::string> vacated = lead.vacated;
+    for (const std::string& store : lead.replicas)
+        if (!replicas.count(store) && !lead.young.count(store)) vacated.insert(addressOf(store, lead));
+    vacated.erase("");
+    means_.board().under("store/", [&](const std::string&, const board::Record& r) {
+        if (r.body.is_object()) vacated.erase(r.body.value("address", ""));
+    });
+    while (vacated.size() > vacatedMost) vacated.erase(vacated.begin());
+    return vacated;
+}
+
+// Each member counts for how long replicas have been on record, so that the next owner knows it, too.
+void Succession::noteYoung(Nanos now) {
+    if (now - notedAt_ < noteAgain) return;
+    notedAt_ = now;
+    const board::Record* found = means_.board().find("lead/" + service_);
+    const bool any = found && found->body.is_object() && found->body.contains("young");
+    ages_.note(any ? found->body["young"].get<YoungReplicas>() : YoungReplicas(), now);
+}
+
+// Of the replicas to be on record next those that are young, with their ages.
+YoungReplicas Succession::youngOf(const std::set<std::string>& replicas, const Lead& lead, Nanos now) const {
+    YoungReplicas young;
     for (const std::string& store : replicas) {
         const bool isNew = !lead.replicas.count(store);
-        if (!isNew && !lead.young.count(store)) continue;
-        const Nanos since = isNew ? now : youngSince_.try_emplace(store, now).first->second;
-        if (now - since < longOnRecord) young.insert(store);
+        if (isNew ? hasLogOfKnown(store, lead) : !lead.young.count(store)) continue;
+        const unsigned age = isNew ? 0 : std::max(lead.young.at(store), ages_.age(store, now));
+        if (age < ReplicaAges::grownUp) young[store] = age;
     }
-    std::erase_if(youngSince_, [&](const auto& each) { return !young.count(each.first); });
     return young;
 }
 
-void Succession::writeReplicas(const Lead& lead, std::set<std::string> replicas,
-                               std::set<std::string> young) {
+void Succession::writeReplicas(const Lead& lead, std::set<std::string> replicas, YoungReplicas young) {
     Lead next = lead;
     next.young = std::move(young);
+    next.vacated = vacatedBehind(lead, replicas);
     next.addresses = addressesOf(replicas, lead);
     next.replicas = std::move(replicas);
     ++next.seq;
@@ -383,8 +415,7 @@
     if (have < std::max<std::size_t>(1, std::min(sync, staying.size()))) return;
     rows_.clear();
     goneSince_ = 0;
-    const std::set<std::string> young = youngOf(staying, *lead, now);
-    writeReplicas(*lead, staying, young);
+    writeReplicas(*lead, staying, youngOf(staying, *lead, now));
 }
 
 // Founding: no lead is on record. From the question to the store that says it leads until its answer.
@@ -608,9 +639,8 @@
 }
 
 bool Succession::oneLongOnRecordHeard() const {
-    return std::any_of(rows_.begin(), rows_.end(), [&](const auto& each) {
-        return lead_.replicas.count(each.first) && !lead_.young.count(each.first);
-    });
+    return std::any_of(lead_.replicas.begin(), lead_.replicas.end(),
+                       [&](const std::string& store) { return !lead_.young.count(store) && heard(store); });
 }
 
 // For the log: who was not heard, and how far the others are.
--- a/src/control/succession.hpp
+++ b/src/control/succession.hpp
@@ -13,6 +13,7 @@
 
 #include "board/board.hpp"
 #include "control/outputs.hpp"
+#include "control/replica_ages.hpp"
 #include "mark.hpp"
 #include "nanos.hpp"
 #include "store_row.hpp"
@@ -28,7 +29,9 @@
     std::set<std::string> replicas;  // also those that left and were not released yet
     // Of the replicas those that are on record for a short while only: a proxy may rest on a record without
     // them.
-    std::set<std::string> young;
+    YoungReplicas young;
+    // Addresses of released replicas that were not young: a log passes on to the next store there.
+    std::set<std::string> vacated;
     std::map<std::string, std::string> addresses;  // of the replicas: a log passes on at its address
     // Of the log of the lead before, what this store had for certain when it was promoted; none: not known.
     std::optional<Mark> retained;
@@ -133,7 +136,7 @@
     void tickRising(Nanos now);
     void tickSettling(Nanos now);
     void updateReplicas(const Lead& lead, Nanos now);
-    void writeReplicas(const Lead& lead, std::set<std::string> replicas, std::set<std::string> young);
+    void writeReplicas(const Lead& lead, std::set<std::string> replicas, YoungReplicas young);
     std::map<std::string, std::string> addressesOf(const std::set<std::string>& stores,
                                                    const Lead& before) const;
     bool gone(const std::string& store) const;
@@ -155,7 +158,10 @@
     void verify(Nanos now);
     bool enoughHeard() const;
     bool oneLongOnRecordHeard() const;
-    std::set<std::string> youngOf(const std::set<std::string>& replicas, const Lead& lead, Nanos now);
+    bool hasLogOfKnown(const std::string& store, const Lead& lead) const;
+    std::set<std::string> vacatedBehind(const Lead& lead, const std::set<std::string>& replicas) const;
+    void noteYoung(Nanos now);
+    YoungReplicas youngOf(const std::set<std::string>& replicas, const Lead& lead, Nanos now) const;
     std::string furthest() const;
     std::string whatIsMissing() const;
     void weigh(Nanos now);
@@ -198,7 +204,8 @@
     bool posted_ = false;  // in this attempt
     Mark targetHas_;       // of the target's row that the call rested on
 
-    std::map<std::string, Nanos> youngSince_;  // young replicas, as far as this life has seen
+    ReplicaAges ages_;
+    Nanos notedAt_ = 0;
     Nanos goneSince_ = 0;  // since when a replica on record is known to have left; 0: none has
     std::set<std::string> toResume_, resumed_;  // resumed_: under resumedFence_, by this life
     std::uint64_t resumedFence_ = 0;
--- a/src/proxy/pooler.cpp
+++ b/src/proxy/pooler.cpp
@@ -111,8 +111,11 @@
 // The first lease comes soon after the configuration where control is there; until then no success of a write
 // could be told. It is not waited for for long: reads are served without it.
 bool Pooler::ready() const {
-    const bool leaseHad = lease_.until() > 0 || now_ - configuredAt_ >= firstLeaseWithin;
-    return configured_ && !stores_.empty() && leaseHad && !leaving_;
+    const bool settled = std::all_of(services_.begin(), services_.end(), [](const auto& each) {
+        return each.second->evidence.settledUntil() > 0;
+    });
+    const bool waitsNoMore = settled || now_ - configuredAt_ >= firstLeaseWithin;
+    return configured_ && !stores_.empty() && waitsNoMore && !leaving_;
 }
 
 void Pooler::leave(Nanos now) {
