Record of the lead, its replicas and a member's duties in files of their own

Moved without a change: the lead's record and its codec (lead.*), who is on record of a lead (succession_replicas.cpp), the member's part in duties (member_duties.cpp).

--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -1,7 +1,5 @@
 #include "control/member.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 #include "control/disk_records.hpp"
@@ -12,24 +10,12 @@
 namespace {
 // Rounds of the lease: three fit into one, so that one lost message does not end it.
 constexpr Nanos roundEvery = millis(200);
-// A change that has no majority by then is answered as failed, within the time that an operator's call waits.
-constexpr Nanos changeWithin = millis(900);
-// A member whose link is down for longer counts as away when duties are dealt out.
-constexpr Nanos awayAfter = millis(600);
 // An accepted value that nobody has said to stand is settled after this.
 constexpr Nanos unannouncedFor = millis(250);
 // After a start nothing has been said yet, and everyone waits for it.
 constexpr Nanos soonAtStart = millis(50);
 // A member that was told to end is gone after this part of guarantees.grace_s, whatever is left to hand over.
 constexpr int leavingPartOfGrace = 3;
-// What an earlier life of a member with an empty disk may have said is no longer under way after this.
-constexpr Nanos forgottenAfter = changeWithin + millis(300);
-
-// Rendezvous hashing (Thaler and Ravishankar, 1998): the highest of all members' values for a name has it.
-std::uint64_t weight(const std::string& member, const std::string& name) {
-    const std::string both = member + '\n' + name;
-    return XXH64(both.data(), both.size(), 0);
-}
 
 ProposerId proposerOf(const settings::Settings& settings, const std::string& incarnation,
                       const std::map<std::string, Json>& disk) {
@@ -397,55 +383,6 @@
     return message;
 }
 
-std::uint64_t ControlMember::nextAsk(Succession& asker) {
-    asks_[nextAsk_] = &asker;
-    return nextAsk_++;
-}
-
-void ControlMember::change(const std::string& service, std::uint64_t ifSeq, Lead to,
-                           std::function<void(std::optional<Lead>)> done) {
-    const std::string name = "lead/" + service;
-    const Json wanted = written(to);
-    // An equal value may stand that another life of this member wrote: only one that was applied here counts.
-    const auto applied = std::make_shared<bool>(false);
-    proposer_.begin({name,
-                     [ifSeq, wanted, applied](const Json& was) {
-                         const std::uint64_t seq = was.is_object() ? was.at("seq").get<std::uint64_t>() : 0;
-                         if (seq != ifSeq) return was;
-                         *applied = true;
-                         return Json(wanted);
-                     },
-                     [this, name, wanted, applied, done = std::move(done)](std::optional<Json> stands) {
-                         if (stands) learn(name, *stands);
-                         const bool ours = stands && *applied && *stands == wanted;
-                         done(ours ? readLead(*stands) : std::nullopt);
-                     }},
-                    now_, now_ + changeWithin);
-    flushProposer(now_);
-}
-
-// A read by a majority that promises to take nothing older: what replaces the lead is chosen after it began.
-void ControlMember::confirm(const std::string& service, const Lead& expected,
-                            std::function<void(Confirmation, Nanos now)> done) {
-    const std::string name = "lead/" + service;
-    proposer_.begin(
-        {name, [](const Json& was) { return was; },
-         [this, name, wanted = written(expected), done = std::move(done)](std::optional<Json> is) {
-             if (is) learn(name, *is);
-             const auto lead = is ? readLead(*is) : std::nullopt;
-             if (is && (!lead || written(*lead) != wanted)) return done(Confirmation::replaced, now_);
-             const bool contact = leased(now_);
-             done(is && contact ? Confirmation::stands : Confirmation::unknown, now_);
-         }},
-        now_, now_ + changeWithin);
-    flushProposer(now_);
-}
-
-int ControlMember::syncReplicas(const std::string& service) const {
-    const configuration::Service* known = configuration_.service(service);
-    return known ? known->syncReplicas : 1;  // not known yet: as if it had some
-}
-
 void ControlMember::putRecord(const std::string& name, board::Record record) {
     gossip_.put(name, std::move(record));
 }
@@ -465,65 +402,6 @@
     calls_.call(call, method, path, body, now);
 }
 
-void ControlMember::suspected(const Json& message, Nanos now) {
-    const std::string service = message.at("service");
-    const auto at = successions_.find(service);
-    if (at != successions_.end()) at->second->suspected(message.at("store"), now);
-    // The member that owns the duty may be another; it is told once.
-    if (message.value("passed", false)) return;
-    Json on = message;
-    on["passed"] = true;
-    for (const auto& [link, peer] : peers_)
-        if (!peer.dialled.empty()) send(link, on);
-}
-
-void ControlMember::storeAnswered(std::uint64_t ask, std::optional<StoreRow> row, Nanos now) {
-    now_ = now;
-    const auto at = asks_.find(ask);
-    if (at == asks_.end()) return;
-    Succession* asker = at->second;
-    asks_.erase(at);
-    asker->answered(ask, row, now);
-}
-
-void ControlMember::platformAnswered(std::uint64_t ask, PromotionAnswer answer, Nanos now) {
-    now_ = now;
-    const auto at = asks_.find(ask);
-    if (at == asks_.end()) return;
-    Succession* asker = at->second;
-    asks_.erase(at);
-    asker->promoted(ask, answer, now);
-}
-
-// Each service's duty belongs to the voter with the highest value for its name among those in reach.
-void ControlMember::ownDuties(Nanos now) {
-    if (!settings_.promotes) return;
-    std::vector<std::string> here;
-    for (const std::string& voter : core_.voters) {
-        if (membership_.leaves(voter)) continue;
-        const auto at = memberHeard_.find(voter);
-        if (voter == self_ || linkTo(voter) || (at != memberHeard_.end() && now - at->second < awayAfter))
-            here.push_back(voter);
-    }
-    const bool majority = here.size() >= core_.majority() && now < lease_.until();
-    board().under("store/", [&](const std::string&, const board::Record& record) {
-        if (!record.body.is_object()) return;
-        auto& slot = successions_[record.body.at("service").get<std::string>()];
-        if (!slot)
-            slot = std::make_unique<Succession>(
-                self_, record.body.at("service"), LeaseRounds::leaseTime + driftOfClocks, *this,
-                PlatformGuarantees{settings_.fenceChecked, millis(settings_.lease_ms)});
-    });
-    std::erase_if(here, [this](const std::string& voter) { return disqualified(voter); });
-    for (const auto& [service, succession] : successions_) {
-        const auto best = std::max_element(here.begin(), here.end(), [&, &name = service](auto& a, auto& b) {
-            return weight(a, name) < weight(b, name);
-        });
-        succession->own(majority && votes() && best != here.end() && *best == self_, now);
-        succession->tick(now);
-    }
-}
-
 // What was accepted here and is said by nobody to stand may have been chosen by a proposer that died before
 // it could say so; and after a start nobody has said anything. It is read by a majority, which settles it,
 // and told to all.
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -67,6 +67,12 @@
     Json state(Nanos now) const;
 
 private:
+    // A change that has no majority by then is answered as failed, within the time that an operator's call
+    // waits.
+    static constexpr Nanos changeWithin = millis(900);
+    // What an earlier life of a member with an empty disk may have said is no longer under way after this.
+    static constexpr Nanos forgottenAfter = changeWithin + millis(300);
+
     struct Peer {
         std::string dialled, member, station, kind;  // kind: "member", "front"; empty: not said yet
     };
--- a/src/control/succession.hpp
+++ b/src/control/succession.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "board/board.hpp"
+#include "control/lead.hpp"
 #include "control/outputs.hpp"
 #include "control/replica_ages.hpp"
 #include "mark.hpp"
@@ -20,25 +21,6 @@
 
 namespace granitereel::control {
 
-// What the register "lead/SERVICE" holds.
-struct Lead {
-    std::string store;
-    std::uint64_t term = 0, seq = 0, fence = 0;
-    std::string holder;              // the member that owns the duty
-    bool steady = false;             // no promotion may be under way
-    std::set<std::string> replicas;  // also those that left and were not released yet
-    // Of the replicas those that are on record for a short while only: a proxy may rest on a record without
-    // them.
-    YoungReplicas young;
-    // Addresses of released replicas that were not young: a log passes on to the next store there.
-    std::set<std::string> vacated;
-    std::map<std::string, std::string> addresses;  // of the replicas: a log passes on at its address
-    // Of the log of the lead before, what this store had for certain when it was promoted; none: not known.
-    std::optional<Mark> retained;
-};
-Json written(const Lead& lead);
-std::optional<Lead> readLead(const Json& body);
-
 // Over the spans that promotion measures, the steady clocks of two machines differ by less than this.
 constexpr Nanos driftOfClocks = millis(50);
 
