--- a/tests/system/promotion.cpp
+++ b/tests/system/promotion.cpp
@@ -337,10 +337,15 @@
     }
 }
 
+// How many runs SEEDS asks for.
+std::optional<unsigned> seedsTold() {
+    const char* told = std::getenv("SEEDS");
+    return told ? std::optional(static_cast<unsigned>(std::atoi(told))) : std::nullopt;
+}
+
 // SEEDS says how many runs; two dozen without.
 TEST(Promotion, KeepsEveryRuleUnderRandomFaults) {
-    const char* told = std::getenv("SEEDS");
-    const unsigned seeds = told ? static_cast<unsigned>(std::atoi(told)) : 24;
+    const unsigned seeds = seedsTold().value_or(24);
     std::size_t promotions = 0;
     for (unsigned seed = 1; seed <= seeds && !HasFailure(); ++seed) {
         PromotionRig::Options options;
@@ -361,8 +366,8 @@
 // What is acknowledged then is told to a client only where the promoted store has it: without LeadEvidence
 // the 608th seed is the first of a thousand to lose a commit. SEEDS says how many runs from the first on.
 TEST(PromotionRestarts, KeepEveryRuleWhereStoresStartAtAnyMoment) {
-    const char* told = std::getenv("SEEDS");
-    const unsigned first = told ? 1 : 600, last = told ? static_cast<unsigned>(std::atoi(told)) : 620;
+    const auto told = seedsTold();
+    const unsigned first = told ? 1 : 600, last = told.value_or(620);
     for (unsigned seed = first; seed <= last && !HasFailure(); ++seed) {
         PromotionRig::Options options;
         options.seed = seed;
@@ -380,8 +385,7 @@
 // Fronts that are cut off from control tell of writes by what the replicas say, while these start again at
 // any moment and others join that the fronts know nothing of.
 TEST(PromotionProofs, KeepEveryRuleWhereFrontsAreCutOffFromControl) {
-    const char* told = std::getenv("SEEDS");
-    const unsigned seeds = told ? static_cast<unsigned>(std::atoi(told)) : 24;
+    const unsigned seeds = seedsTold().value_or(24);
     int provenAlone = 0;
     for (unsigned seed = 1; seed <= seeds && !HasFailure(); ++seed) {
         PromotionRig::Options options;
@@ -507,8 +511,7 @@
 
 // Stores that crash come back under other names, at any moment, again and again.
 TEST(PromotionRenamed, KeepEveryRuleUnderRandomFaults) {
-    const char* told = std::getenv("SEEDS");
-    const unsigned seeds = told ? static_cast<unsigned>(std::atoi(told)) : 24;
+    const unsigned seeds = seedsTold().value_or(24);
     for (unsigned seed = 1; seed <= seeds && !HasFailure(); ++seed) {
         PromotionRig::Options options;
         options.seed = seed;
