Agents, members and proxies tell of lost contact; agents of parents passed over

Change: ContactWatch logs the loss, the length and the end of contact with control; an agent logs parents without a lease, pauses and what is to be tried next. No logic changed.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -89,6 +89,8 @@
     auto& [until, pause] = barren_[address];
     pause = std::clamp(2 * pause, shunned, shunnedMost);
     until = now + pause;
+    lines_.push_back("parent " + address + " is passed over for " + std::to_string(pause / millis(1)) +
+                     " ms");
 }
 
 void Agent::upward(int link, const std::string& address, Nanos now) {
@@ -140,13 +142,18 @@
 void Agent::tick(Nanos now) {
     now_ = now;
     gossip_.advance(now, lease_.valid(now));
+    if (auto line = contact_.seen(lease_.until(), now)) lines_.push_back(std::move(*line));
     if (up_ != 0 && now - askedAt_ >= askEvery) {
         askedAt_ = now;
         said_.push_back({up_, board::LeaseRequest{questions_.ask(now)}.toJson()});
     }
     if (up_ != 0 && now - grantedAt_ > barrenFor) {
+        lines_.push_back("parent " + upAddress_ + " gives no lease");
         shun(upAddress_, now);
         grantedAt_ = now;
+        const std::string better = betterParent();
+        lines_.push_back(better.empty() ? "no other parent is to be tried"
+                                        : "parent " + better + " is to be tried");
     }
 }
 
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "board/contact_watch.hpp"
 #include "board/gossip.hpp"
 #include "board/lease.hpp"
 #include "nanos.hpp"
@@ -40,6 +41,8 @@
     void heard(int link, const Json& message, Nanos now);
     void tick(Nanos now);
     std::vector<Said> take() { return std::exchange(said_, {}); }
+    // Lines for the log.
+    std::vector<std::string> takeLines() { return std::exchange(lines_, {}); }
     // Whether anyone hangs on this one.
     bool feeds() const { return !below_.empty(); }
     const board::Board& board() const { return gossip_.board(); }
@@ -48,12 +51,14 @@
 private:
     const settings::Settings settings_;
     std::vector<Said> said_;
+    std::vector<std::string> lines_;
     board::Gossip gossip_;
     int up_ = 0;
     std::string upAddress_;
     std::set<int> below_;
     board::LeaseQuestions questions_;
     board::HeldLease lease_;
+    board::ContactWatch contact_;
     Nanos askedAt_ = 0, grantedAt_ = 0, now_ = 0;
     std::map<std::string, std::pair<Nanos, Nanos>>
         barren_;  // parents without a lease: until when, for how long
--- a/src/agent/program.cpp
+++ b/src/agent/program.cpp
@@ -136,8 +136,10 @@
         links_.erase(up_);
         up_ = 0;
         agent_.upward(0, "", transport::steadyNow());
+        spdlog::info("the link upwards is lost");
     }
     void carryOut() {
+        for (const std::string& line : agent_.takeLines()) spdlog::info("{}", line);
         for (auto said = agent_.take(); !said.empty(); said = agent_.take())
             for (auto& [no, message] : said) {
                 const auto at = links_.find(no);
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -506,6 +506,7 @@
 void ControlMember::tick(Nanos now) {
     now_ = now;
     gossip_.advance(now, leased(now));
+    if (auto line = contact_.seen(lease_.until(), now)) outputs_.push_back(ToLog{std::move(*line)});
     ownRecord();
     rounds(now);
     stores_.tick(now);
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "board/contact_watch.hpp"
 #include "board/gossip.hpp"
 #include "board/lease.hpp"
 #include "configuration/configuration.hpp"
@@ -164,6 +165,7 @@
     std::map<std::string, Nanos> memberHeard_;
     UnsettledLeads unsettledLeads_;
     LeaseRounds lease_;
+    board::ContactWatch contact_;
     std::map<std::string, std::unique_ptr<Succession>> successions_;
     std::map<std::uint64_t, Succession*> asks_;
     std::uint64_t nextAsk_ = 1;
--- a/src/proxy/pooler.cpp
+++ b/src/proxy/pooler.cpp
@@ -127,6 +127,7 @@
 void Pooler::tick(Nanos now) {
     begin(now);
     gossip_.advance(now, lease_.valid(now));
+    if (auto line = contact_.seen(lease_.until(), now)) log(*line);
     askForLease();
     if (now >= wakeAt_) front_.woke(0);
     settle();
--- a/src/proxy/pooler.hpp
+++ b/src/proxy/pooler.hpp
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "board/contact_watch.hpp"
 #include "board/gossip.hpp"
 #include "board/lease.hpp"
 #include "configuration/configuration.hpp"
@@ -307,6 +308,7 @@
     std::uint64_t keyNo_ = 0;
     board::LeaseQuestions leaseQuestions_;
     board::HeldLease lease_;
+    board::ContactWatch contact_;
     std::map<std::string, std::unique_ptr<Service>> services_;
     std::map<int, Service*> byGroup_;
     std::unordered_map<std::string, std::unique_ptr<Store>> stores_;
