Known red: an agent keeps a parent without a lease while others are in a pause

Change: tests/system/parents.cpp, the agent's state machine alone and real processes (all of control is killed for 2.5 s; then the agent's near parent is stopped and a change is acknowledged by another).

--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -94,9 +94,9 @@
     const bool first = !fs::exists(path) && (!control || machine < members_);
     std::ofstream out(path);
     const std::string p = std::to_string(port_);
-    out << "station = \"" << name << "\"\nip_addr = \"" << ip(machine)
-        << "\"\ndistrict = \"here\"\nfirst_boot = " << (first ? "true" : "false") << "\nspare_ports = ["
-        << port_ + 1 << ", " << port_ + 8 << "]\nseed_list = [";
+    out << "station = \"" << name << "\"\nip_addr = \"" << ip(machine) << "\"\ndistrict = \""
+        << (elsewhere.count(name) ? "elsewhere" : "here") << "\"\nfirst_boot = " << (first ? "true" : "false")
+        << "\nspare_ports = [" << port_ + 1 << ", " << port_ + 8 << "]\nseed_list = [";
     for (int i = 0; i < std::min(3, members_); ++i)
         out << (i ? ", " : "") << "\"" << ip(i) << ":" << p << "\"";
     out << "]\n";
@@ -135,8 +135,12 @@
     fs::remove_all(folder_ + "/" + name);
 }
 
-void Site::logged(const std::string& name, const std::string& text) {
-    processes_.at(name)->logged(text);
+void Site::logged(const std::string& name, const std::string& text, std::size_t from) {
+    processes_.at(name)->logged(text, from);
+}
+
+std::size_t Site::lines(const std::string& name) const {
+    return processes_.at(name)->lines();
 }
 
 bool Site::until(std::function<bool()> holds, int within_ms) {
--- a/standins/site.hpp
+++ b/standins/site.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <future>
 #include <memory>
+#include <set>
 #include <thread>
 
 #include "databases.hpp"
@@ -29,8 +30,10 @@
     // Its exit code; the process must have been told to end.
     int end(const std::string& name);
     void wipe(const std::string& name);
-    // Waits until it has logged the text.
-    void logged(const std::string& name, const std::string& text);
+    // Waits until it has logged the text, in line `from` or later.
+    void logged(const std::string& name, const std::string& text, std::size_t from = 0);
+    // How many lines it has logged so far.
+    std::size_t lines(const std::string& name) const;
 
     // Runs in the site's own thread, with its databases.
     template <class What>
@@ -50,6 +53,8 @@
 
     boost::asio::io_context loop{1};
     Databases databases{"svc", 3, 1};
+    // Processes that are in another district than the stores and all others; said before they start.
+    std::set<std::string> elsewhere;
     std::atomic<int> promotions{0};
 
 private:
--- /dev/null
+++ b/tests/system/parents.cpp
@@ -0,0 +1,107 @@
+// An agent whose parent has lost contact with the core finds another in time, whatever it remembers of the
+// others: first its state machine alone, then the real processes on loopback.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+
+#include "agent/agent.hpp"
+#include "board/messages.hpp"
+#include "standins/site.hpp"
+
+namespace {
+using granitereel::millis;
+using granitereel::Nanos;
+using granitereel::agent::Agent;
+using granitereel::standins::Site;
+using granitereel::standins::WireClient;
+
+// How long after its acknowledgement a configuration may not be in force yet.
+constexpr auto inForceWithin = std::chrono::milliseconds(3'000);
+
+granitereel::settings::Settings agentSettings() {
+    granitereel::settings::Settings settings;
+    settings.station = "proxy-1";
+    settings.ip = "10.1.0.8";
+    settings.district = "here";
+    settings.seeds = {"10.1.0.1:8782", "10.1.0.2:8782", "10.1.0.3:8782"};
+    return settings;
+}
+
+// An agent that is linked to the first seed, which gives a lease of 700 ms to each question while told to.
+struct LinkedAgent {
+    Nanos now = millis(1'000'000);
+    Agent agent{agentSettings(), now};
+    bool parentHasLease = true;
+
+    void link(const std::string& address) { agent.upward(1, address, now); }
+    void pass(Nanos time) {
+        for (const Nanos end = now + time; now < end; now += millis(100)) {
+            agent.tick(now);
+            for (const Agent::Said& said : agent.take()) answer(said);
+        }
+    }
+    void answer(const Agent::Said& said) {
+        if (said.message["k"] == granitereel::board::Inventory::kind)
+            agent.heard(said.link, granitereel::board::Complete{said.message["exchange"], 0}.toJson(), now);
+        if (said.message["k"] != granitereel::board::LeaseRequest::kind) return;
+        const Nanos left = parentHasLease ? millis(700) : 0;
+        const auto number = granitereel::board::LeaseRequest::fromJson(said.message).number;
+        agent.heard(said.link, granitereel::board::LeaseReply{number, left, {}}.toJson(), now);
+    }
+    // The agent itself was cut off for so long that each address failed often.
+    void allFailed() {
+        for (int dial = 0; dial < 6; ++dial)
+            for (const char* address : {"10.1.0.1", "10.1.0.2", "10.1.0.3"}) agent.shun(address, now);
+    }
+};
+
+TEST(Parents, AreSoughtAmongThoseThatFailedBeforeOnceThePresentOneHasNoLease) {
+    LinkedAgent rig;
+    rig.allFailed();
+    rig.link("10.1.0.1");
+    rig.pass(millis(2'000));
+    EXPECT_EQ(rig.agent.betterParent(), "");
+    rig.parentHasLease = false;
+    rig.pass(millis(1'200));
+    const std::string next = rig.agent.betterParent();
+    EXPECT_TRUE(next == "10.1.0.2" || next == "10.1.0.3") << "to be tried: '" << next << "'";
+}
+
+bool serves(Site& site, const std::string& database) {
+    WireClient client(site.frontAddress(), database);
+    const auto lines = client.ask("QUERY p" + std::to_string(std::rand()) + " READ x");
+    return !lines.empty() && lines.front().starts_with("ROW");
+}
+
+TEST(Parents, OfRealProcessesAreLeftInTimeAfterAllWereAway) {
+    Site site(3, 21900);
+    const std::vector<std::string> control{"control-0", "control-1", "control-2"};
+    site.elsewhere = {"control-1", "control-2"};
+    for (const std::string& member : control) site.start(member);
+    site.start("agent");
+    site.start("proxy");
+    ASSERT_TRUE(site.until([&] { return site.put(0, "/config", site.configuration(1)) == 200; }));
+    ASSERT_TRUE(site.until([&] { return site.ready() == 200; }));
+    // All of control is away for a while, so that each dial of the agent fails; the near member is back
+    // first.
+    for (const std::string& member : control) site.signal(member, SIGKILL);
+    for (const std::string& member : control) site.end(member);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    const std::size_t linesBefore = site.lines("agent");
+    site.start("control-0");
+    site.logged("agent", "news comes from", linesBefore);
+    for (const char* member : {"control-1", "control-2"}) site.start(member);
+    ASSERT_TRUE(site.until([&] { return site.put(0, "/config", site.configuration(2)) == 200; }));
+    site.logged("proxy", "configuration 2 in force");
+    // The near member stands still; the other two go on.
+    site.signal("control-0", SIGSTOP);
+    ASSERT_TRUE(site.until([&] { return site.put(1, "/config", site.configuration(3, "added")) == 200; }));
+    const auto acknowledged = std::chrono::steady_clock::now();
+    EXPECT_TRUE(site.until([&] { return serves(site, "added"); }, static_cast<int>(inForceWithin.count())));
+    const auto took = std::chrono::steady_clock::now() - acknowledged;
+    RecordProperty("in_force_ms", static_cast<int>(took / std::chrono::milliseconds(1)));
+    site.signal("control-0", SIGCONT);
+}
+}  // namespace
