An agent without a lease tries every parent, whatever failed before; leases tell editions

Pauses after failed dials decided where an agent may go, and grew to 16 s while the agent itself was cut off; where all were in a pause the order fell back to one that began with the parent to be left. Change: ParentSearch, a state machine of its own: without a parent that gives leases every other is tried in turn, 100 ms apart, three at once; a pause holds only back a better parent beside a good one. A link beside the present one is taken only once its other side has shown a lease. Pauses of a search in which all failed end with it. Checks that run in the code: all parents tried in time; each lease names the giver's configuration, which must be here before; configurations in force rise.

--- /dev/null
+++ b/src/agent/parent_search.cpp
@@ -0,0 +1,122 @@
+#include "agent/parent_search.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace granitereel::agent {
+
+namespace {
+constexpr Nanos shortestPause = millis(2'000), longestPause = millis(16'000);
+// Connections that may be on their way at once: a machine without power says nothing for a second, and others
+// are tried beside it.
+constexpr int dialsMost = 3;
+constexpr Nanos dialEvery = millis(100);
+// Once all have been tried in vain, a further round is slower: many agents may be searching.
+constexpr Nanos dialAgainEvery = millis(300);
+// A new link is given so long before a better one is sought.
+constexpr Nanos settledAfter = millis(500);
+// All must have been tried within this, and so much more for each address.
+constexpr Nanos triedWithin = millis(1'000), triedWithinEach = millis(650);
+// A longer time between two ticks was no search: the process stood still.
+constexpr Nanos tickMost = millis(300);
+}  // namespace
+
+void ParentSearch::linked(const std::string& parent, Nanos now) {
+    parent_ = parent;
+    linkedAt_ = grantedAt_ = now;
+    if (!parent.empty()) triedAt_[parent] = now;
+}
+
+void ParentSearch::granted(Nanos now) {
+    // Where all failed, it was this process that was cut off: that tells nothing of the others.
+    const bool searched = searchedFor_ > 0 && !searched_.empty();
+    if (searched && std::all_of(searched_.begin(), searched_.end(),
+                                [&](const auto& each) { return each == parent_ || pauses_.count(each) > 0; }))
+        pauses_.clear();
+    grantedAt_ = now;
+    searchedFor_ = 0;
+    triedAt_.clear();
+    pauses_.erase(parent_);
+}
+
+void ParentSearch::failed(const std::string& address, Nanos now) {
+    Pause& pause = pauses_[address];
+    pause.length = std::clamp(2 * pause.length, shortestPause, longestPause);
+    pause.until = now + pause.length;
+}
+
+bool ParentSearch::paused(const std::string& address, Nanos now) const {
+    const auto at = pauses_.find(address);
+    return at != pauses_.end() && now < at->second.until;
+}
+
+ParentSearch::Addresses ParentSearch::ranked(const Addresses& preferred, Nanos now) const {
+    Addresses all = preferred;
+    std::stable_partition(all.begin(), all.end(), [&](const auto& each) { return !paused(each, now); });
+    return all;
+}
+
+// Whether the address comes before the parent; an unknown parent comes last.
+bool ParentSearch::better(const std::string& address, const Addresses& preferred) const {
+    const auto parent = std::find(preferred.begin(), preferred.end(), parent_);
+    return std::find(preferred.begin(), parent, address) != parent;
+}
+
+bool ParentSearch::improves(const std::string& address, const Addresses& preferred, Nanos now) const {
+    return searching(now) || better(address, preferred);
+}
+
+std::optional<std::string> ParentSearch::wanted(const Addresses& preferred, Nanos now) const {
+    if (!searching(now)) {
+        const auto at = std::find_if(preferred.begin(), preferred.end(),
+                                     [&](const auto& each) { return !paused(each, now); });
+        if (at == preferred.end() || !better(*at, preferred)) return std::nullopt;
+        return *at;
+    }
+    // The one whose last try is longest ago; of those not tried yet, one in no pause.
+    const auto rank = [&](const std::string& address) {
+        const auto tried = triedAt_.find(address);
+        return std::tuple(tried == triedAt_.end() ? Nanos(0) : tried->second, paused(address, now));
+    };
+    std::optional<std::string> first;
+    for (const std::string& each : preferred)
+        if (each != parent_ && (!first || rank(each) < rank(*first))) first = each;
+    return first;
+}
+
+std::optional<std::string> ParentSearch::dial(const Addresses& preferred, Nanos now) {
+    const bool search = searching(now);
+    if (now < nextDialAt_ || dialsUnderWay_ >= (search ? dialsMost : 1)) return std::nullopt;
+    if (!search && now - linkedAt_ <= settledAfter) return std::nullopt;
+    std::optional<std::string> address = wanted(preferred, now);
+    if (!address) return std::nullopt;
+    const bool again = !parent_.empty() && triedAt_.count(*address);
+    nextDialAt_ = now + (again ? dialAgainEvery : dialEvery);
+    triedAt_[*address] = now;
+    ++dialsUnderWay_;
+    return address;
+}
+
+std::size_t ParentSearch::untried(const Addresses& preferred) const {
+    return static_cast<std::size_t>(std::count_if(preferred.begin(), preferred.end(), [&](const auto& each) {
+        return each != parent_ && !triedAt_.count(each);
+    }));
+}
+
+std::optional<std::string> ParentSearch::tick(const Addresses& preferred, Nanos now) {
+    const Nanos passed = std::min(now - std::exchange(tickedAt_, now), tickMost);
+    if (preferred != searched_) {
+        searched_ = preferred;
+        searchedFor_ = 0;
+    }
+    if (!searching(now)) return std::nullopt;
+    searchedFor_ += passed;
+    const Nanos bound = triedWithin + static_cast<Nanos>(preferred.size()) * triedWithinEach;
+    const std::size_t left = searchedFor_ <= bound ? 0 : untried(preferred);
+    return allTried_.check(left == 0, std::to_string(left) + " of " + std::to_string(preferred.size()) +
+                                          " not tried in " + std::to_string(searchedFor_ / millis(1)) +
+                                          " ms");
+}
+
+}  // namespace granitereel::agent
--- a/src/agent/program.cpp
+++ b/src/agent/program.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include "agent/agent.hpp"
@@ -14,8 +15,8 @@
 namespace {
 namespace asio = boost::asio;
 using transport::Link;
-// Connections towards a parent that may be on their way at once while there is none.
-constexpr int dialsMost = 3;
+// A parent that has not taken a connection by then is out of reach.
+constexpr int dialWithin_ms = 1000;
 
 class Program {
 public:
@@ -65,17 +66,7 @@
         // The proxy beside it may end by the same signal, and needs the news until it has.
         if (ending_ && (!agent_.feeds() || now - ending_ > millis(settings_.grace_ms - 200)))
             return loop_.stop();
-        if (now >= dialAt_) {
-            if (!up_ && dialling_ < dialsMost) {
-                // A machine without power says nothing: others are tried beside it, and the first that
-                // answers is taken.
-                const auto parents = agent_.parents();
-                if (!parents.empty()) dial(parents[tries_++ % parents.size()], now);
-            } else if (const std::string better = agent_.betterParent();
-                       up_ && !dialling_ && !better.empty() && now - upAt_ > millis(500)) {
-                dial(better, now);
-            }
-        }
+        if (const auto parent = agent_.dial(now)) dial(*parent);
         agent_.tick(now);
         if (traffic_.due(now)) spdlog::info("sent: {}", traffic_.line());
         carryOut();
@@ -84,33 +75,22 @@
             if (!ec) tick();
         });
     }
-    // The link that stands is given up only once the other is there.
-    void dial(const std::string& where, Nanos now) {
-        ++dialling_;
-        const bool first = up_ == 0;
-        dialAt_ = now + millis(100);
+    void dial(const std::string& parent) {
         auto made = std::make_shared<std::shared_ptr<transport::Stream>>();
-        *made =
-            transport::Stream::to(loop_, at(where, settings_.firstPort), 1000, [this, made, where, first] {
-                --dialling_;
-                const auto stream = *made;
-                made->reset();
-                if (first && up_) return stream->close();  // another was there before
-                tries_ = 0;
-                links_.erase(up_);
-                up_ = ++lastLink_;
-                upAt_ = transport::steadyNow();
-                auto link = std::make_shared<Link>(stream);
-                links_[up_] = link;
-                start(up_, *link);
-                agent_.upward(up_, where, upAt_);
-                spdlog::info("news comes from {}", where);
-                carryOut();
-            });
+        *made = transport::Stream::to(loop_, at(parent, settings_.firstPort), dialWithin_ms,
+                                      [this, made, parent] {
+                                          const auto stream = *made;
+                                          made->reset();
+                                          const int no = ++lastLink_;
+                                          links_[no] = std::make_shared<Link>(stream);
+                                          start(no, *links_[no]);
+                                          agent_.dialled(no, parent, transport::steadyNow());
+                                          carryOut();
+                                      });
         (*made)->start([](std::string_view) { return std::size_t(0); },
-                       [this, where](bool) {
-                           --dialling_;
-                           agent_.shun(where, transport::steadyNow());
+                       [this, parent](bool) {
+                           agent_.unreachable(parent, transport::steadyNow());
+                           carryOut();
                        });
     }
     void below(std::shared_ptr<transport::Stream> stream) {
@@ -127,17 +107,11 @@
                 carryOut();
             },
             [this, no] {
-                if (no == up_) return lost();
                 links_.erase(no);
-                agent_.linkDown(no);
+                agent_.linkDown(no, transport::steadyNow());
+                carryOut();
             });
     }
-    void lost() {
-        links_.erase(up_);
-        up_ = 0;
-        agent_.upward(0, "", transport::steadyNow());
-        spdlog::info("the link upwards is lost");
-    }
     void carryOut() {
         for (const std::string& line : agent_.takeLines()) spdlog::info("{}", line);
         for (auto said = agent_.take(); !said.empty(); said = agent_.take())
@@ -145,6 +119,14 @@
                 const auto at = links_.find(no);
                 if (at != links_.end()) traffic_.sent(message.at("k"), at->second->send(message));
             }
+        for (const int no : agent_.takeClosed()) close(no);
+    }
+    // Not here and now: it may be the link whose message is being handled.
+    void close(int no) {
+        const auto at = links_.find(no);
+        if (at == links_.end()) return;
+        asio::post(loop_, [link = std::move(at->second)] {});
+        links_.erase(at);
     }
 
     const settings::Settings settings_;
@@ -155,10 +137,8 @@
     asio::signal_set signals_;
     std::map<int, std::shared_ptr<Link>> links_;
     transport::Traffic traffic_;
-    int lastLink_ = 0, up_ = 0;
-    std::size_t tries_ = 0;
-    int dialling_ = 0;
-    Nanos dialAt_ = 0, upAt_ = 0, ending_ = 0;
+    int lastLink_ = 0;
+    Nanos ending_ = 0;
     transport::Listener forAgents_;
     std::optional<transport::Listener> forProxy_;
 };
--- a/src/board/gossip.cpp
+++ b/src/board/gossip.cpp
@@ -168,6 +168,11 @@
     send_(number, digest.toJson());
 }
 
+void Gossip::exchangeAnew(int number) {
+    const auto at = links_.find(number);
+    if (at != links_.end() && at->second.side == Side::dialler) beginExchange(number);
+}
+
 bool Gossip::complete(int number) const {
     const auto at = links_.find(number);
     return at != links_.end() && !at->second.awaiting && at->second.wants.empty();
--- a/src/board/gossip.hpp
+++ b/src/board/gossip.hpp
@@ -46,6 +46,8 @@
     void alive(int link);
     // Whether all that the peer of this link held when it sent what comes next is on this board.
     bool complete(int link) const;
+    // What the peer holds is asked for anew over this link, which the caller found to lack some of it.
+    void exchangeAnew(int link);
     // Whether this record was missed for so long that it may be gone; who has fresh word of it puts it anew.
     bool unconfirmed(const std::string& name) const { return lifetimes_.unconfirmed().count(name) > 0; }
     // Records of other owners that were not renewed in time: whoever holds a lease may take them down.
--- /dev/null
+++ b/src/board/invariant.hpp
@@ -0,0 +1,24 @@
+// A statement that must hold while a process runs. A violation is counted and told, and the process goes on:
+// what it does about it is the caller's. On in every build.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace granitereel::board {
+
+class Invariant {
+public:
+    explicit Invariant(std::string statement) : statement_(std::move(statement)) {}
+
+    // Returns a line for the log at the first violation, and at the second, fourth, eighth and so on.
+    std::optional<std::string> check(bool holds, const std::string& detail);
+    std::uint64_t violations() const { return violations_; }
+
+private:
+    std::string statement_;
+    std::uint64_t violations_ = 0;
+};
+
+}  // namespace granitereel::board
--- a/src/board/lease.cpp
+++ b/src/board/lease.cpp
@@ -11,6 +11,11 @@
 constexpr Nanos nanosInMicro = 1'000;
 }  // namespace
 
+std::uint64_t configurationVersion(const Board& board) {
+    const Record* record = board.find("config");
+    return record ? record->version.major : 0;
+}
+
 std::uint64_t LeaseQuestions::ask(Nanos now) {
     sentAt_[++last_] = now;
     if (sentAt_.size() > openMost) sentAt_.erase(sentAt_.begin());
@@ -30,7 +35,11 @@
 }
 
 nlohmann::json LeaseReply::toJson() const {
-    return {{"k", kind}, {"t", number}, {"left", left / nanosInMicro}, {"c", unsettled}};
+    return {{"k", kind},
+            {"t", number},
+            {"left", left / nanosInMicro},
+            {"c", unsettled},
+            {"edition", configuration}};
 }
 
 LeaseReply LeaseReply::fromJson(const nlohmann::json& message) {
@@ -38,6 +47,7 @@
     reply.number = message.at("t").get<std::uint64_t>();
     reply.left = message.at("left").get<std::int64_t>() * nanosInMicro;
     reply.unsettled = message.at("c").get<std::map<std::string, std::uint64_t>>();
+    reply.configuration = message.value("edition", std::uint64_t(0));
     return reply;
 }
 
--- a/src/board/lease.hpp
+++ b/src/board/lease.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "board/board.hpp"
 #include "nanos.hpp"
 
 namespace granitereel::board {
@@ -16,6 +17,12 @@
 // control makes up for what they lack since (docs/control-safety/promotion.md).
 constexpr Nanos recordsRestedOnFor = millis(20'000);
 
+// The version of the configuration on a board; 0: none.
+std::uint64_t configurationVersion(const Board& board);
+
+// What a receiver of leases checks at each one that counts.
+constexpr const char* newsBeforeLease = "who gives a lease has told its configuration before";
+
 // The question for the lease, from a process further from the core to one nearer to it.
 struct LeaseRequest {
     static constexpr const char* kind = "lease?";
@@ -31,6 +38,9 @@
     std::uint64_t number = 0;
     Nanos left = 0;  // in whole microseconds on the wire; 0 or less: none
     std::map<std::string, std::uint64_t> unsettled;
+    // The version of the configuration that the giver held when it answered; 0: none. Who is complete towards
+    // the giver holds it or a later one.
+    std::uint64_t configuration = 0;
     nlohmann::json toJson() const;
     static LeaseReply fromJson(const nlohmann::json& message);  // throws nlohmann::json::exception
 };
--- a/src/control/lease.cpp
+++ b/src/control/lease.cpp
@@ -20,11 +20,16 @@
 Json LeaseAnswer::toJson() const {
     Json marks = Json::object();
     for (const auto& [service, sequence] : unsettled) marks[service] = sequence;
-    return {{"k", kind}, {"round", round}, {"epoch", epoch}, {"unsettled", std::move(marks)}};
+    return {{"k", kind},
+            {"round", round},
+            {"epoch", epoch},
+            {"unsettled", std::move(marks)},
+            {"edition", configuration}};
 }
 
 LeaseAnswer LeaseAnswer::fromJson(const Json& message) {
-    return {message.at("round"), message.at("epoch"), message.at("unsettled").get<LeadMarks>()};
+    return {message.at("round"), message.at("epoch"), message.at("unsettled").get<LeadMarks>(),
+            message.value("edition", std::uint64_t(0))};
 }
 
 LeaseQuestion LeaseRounds::begin(const Core& core, const std::string& ownVote, Nanos now) {
--- a/src/control/lease.hpp
+++ b/src/control/lease.hpp
@@ -27,6 +27,7 @@
     static constexpr const char* kind = "roundok";
     std::uint64_t round = 0, epoch = 0;
     LeadMarks unsettled;
+    std::uint64_t configuration = 0;  // the version that the voter holds; 0: none
     Json toJson() const;
     static LeaseAnswer fromJson(const Json& message);  // throws nlohmann::json::exception
 };
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -198,7 +198,9 @@
     } else if (kind == board::LeaseRequest::kind) {
         const std::uint64_t number = board::LeaseRequest::fromJson(message).number;
         const Nanos left = std::max<Nanos>(0, lease_.until() - now);
-        send(link, board::LeaseReply{number, left, unsettledLeads_.all(board(), now)}.toJson());
+        send(link, board::LeaseReply{number, left, unsettledLeads_.all(board(), now),
+                                     board::configurationVersion(board())}
+                       .toJson());
     } else if (kind == "suspect") {
         suspected(message, now);
     } else if (kind == StateRequest::kind) {
@@ -243,7 +245,8 @@
     const LeaseQuestion question = LeaseQuestion::fromJson(message);
     if (!peer.member.empty()) calls_.contacts().heard(peer.member, micros(message, "lease_left_us"), now);
     if (votes() && question.epoch == core_.epoch) {
-        const LeaseAnswer told{question.round, question.epoch, unsettledLeads_.own(board())};
+        const LeaseAnswer told{question.round, question.epoch, unsettledLeads_.own(board()),
+                               board::configurationVersion(board())};
         send(link, withLeaseLeft(told.toJson()));
     }
     // Who was cut off during a change of voters is told of it.
@@ -255,7 +258,17 @@
     const LeaseAnswer told = LeaseAnswer::fromJson(message);
     unsettledLeads_.told(told.unsettled, now);
     // Before the exchange on this link is complete the voter may know of a change that this member doesn't.
-    if (gossip_.complete(link)) lease_.answered(peer.dialled, told, core_);
+    if (!gossip_.complete(link)) return;
+    if (const std::uint64_t held = board::configurationVersion(board()); held < told.configuration) {
+        reportBroken(newsBeforeLease_, "configuration " + std::to_string(held) + ", and " + peer.dialled +
+                                           " holds " + std::to_string(told.configuration));
+        return gossip_.exchangeAnew(link);
+    }
+    lease_.answered(peer.dialled, told, core_);
+}
+
+void ControlMember::reportBroken(board::Invariant& invariant, const std::string& detail) {
+    if (auto line = invariant.check(false, detail)) outputs_.push_back(ToLog{std::move(*line)});
 }
 
 // Another member reads what this one's disk holds: before a change of voters, or after the loss of its own.
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -12,6 +12,7 @@
 
 #include "board/contact_watch.hpp"
 #include "board/gossip.hpp"
+#include "board/invariant.hpp"
 #include "board/lease.hpp"
 #include "configuration/configuration.hpp"
 #include "control/call_router.hpp"
@@ -66,6 +67,8 @@
     // Members that a link is to be held to.
     std::set<std::string> toDial() const;
     Json state(Nanos now) const;
+    // How often one of its invariants was found broken.
+    std::uint64_t violations() const { return newsBeforeLease_.violations(); }
 
 private:
     // A change that has no majority by then is answered as failed, within the time that an operator's call
@@ -124,6 +127,7 @@
     void greeted(int link, Peer& peer, const Hello& hello, Nanos now);
     void roundAsked(int link, const Peer& peer, const Json& message, Nanos now);
     void roundAnswered(int link, const Peer& peer, const Json& message, Nanos now);
+    void reportBroken(board::Invariant& invariant, const std::string& detail);
     void stateAsked(int link, const StateRequest& request);
     void stateTold(const std::string& voter, const StateReply& reply);
     void recover(Nanos now);
@@ -166,6 +170,7 @@
     UnsettledLeads unsettledLeads_;
     LeaseRounds lease_;
     board::ContactWatch contact_;
+    board::Invariant newsBeforeLease_{board::newsBeforeLease};
     std::map<std::string, std::unique_ptr<Succession>> successions_;
     std::map<std::uint64_t, Succession*> asks_;
     std::uint64_t nextAsk_ = 1;
--- a/src/proxy/news.cpp
+++ b/src/proxy/news.cpp
@@ -37,7 +37,7 @@
         const board::LeaseReply reply = board::LeaseReply::fromJson(message);
         const auto asked = leaseQuestions_.answered(reply.number);
         if (!asked) return settle();
-        lease_.granted(*asked, reply, gossip_.complete(agentLink));
+        lease_.granted(*asked, reply, toldBeforeLease(reply));
         for (auto& [name, of] : services_)
             if (provable(*of)) of->evidence.settledUntil(lease_.until());
         judgeUnproven();
@@ -45,6 +45,21 @@
     settle();
 }
 
+// Whether all is here that the agent held when it gave the lease.
+bool Pooler::toldBeforeLease(const board::LeaseReply& reply) {
+    if (!gossip_.complete(agentLink)) return false;
+    const std::uint64_t held = board::configurationVersion(gossip_.board());
+    if (held >= reply.configuration) return true;
+    reportBroken(newsBeforeLease_, "configuration " + std::to_string(held) + ", and the agent holds " +
+                                       std::to_string(reply.configuration));
+    gossip_.exchangeAnew(agentLink);
+    return false;
+}
+
+void Pooler::reportBroken(board::Invariant& invariant, const std::string& detail) {
+    if (const auto line = invariant.check(false, detail)) log(*line);
+}
+
 void Pooler::news(const std::string& name, const board::Record& record) {
     if (name == "config") {
         configNews(record.body);
@@ -63,7 +78,11 @@
 void Pooler::configNews(const Json& body) {
     // Of what stands on the board only higher versions come here; what was once in force is never gone back
     // from.
+    const std::uint64_t before = configuration_.edition;
     configuration_ = configuration::read(body);
+    if (configured_ && configuration_.edition <= before)
+        reportBroken(configurationsRise_,
+                     std::to_string(configuration_.edition) + " after " + std::to_string(before));
     if (!std::exchange(configured_, true)) configuredAt_ = now_;
     for (const configuration::Service& each : configuration_.services) {
         Service& of = service(each.name);
--- a/src/proxy/pooler.hpp
+++ b/src/proxy/pooler.hpp
@@ -16,6 +16,7 @@
 
 #include "board/contact_watch.hpp"
 #include "board/gossip.hpp"
+#include "board/invariant.hpp"
 #include "board/lease.hpp"
 #include "configuration/configuration.hpp"
 #include "front.hpp"
@@ -91,6 +92,10 @@
 
     std::vector<Output> take() { return std::exchange(outputs_, {}); }
     const Counts& counts() const { return counts_; }
+    // How often one of its invariants was found broken.
+    std::uint64_t violations() const {
+        return newsBeforeLease_.violations() + configurationsRise_.violations();
+    }
     std::size_t sessions() const { return sessions_.size(); }
     std::size_t lines() const { return lines_.size(); }
 
@@ -225,6 +230,8 @@
     void leadChanged(Service& of, const std::string& before);
     void leaveLead(const std::string& storeId);
     void configNews(const Json& body);
+    bool toldBeforeLease(const board::LeaseReply& reply);
+    void reportBroken(board::Invariant& invariant, const std::string& detail);
     Service& service(const std::string& name);
     void standing(Store& store);
 
@@ -309,6 +316,8 @@
     board::LeaseQuestions leaseQuestions_;
     board::HeldLease lease_;
     board::ContactWatch contact_;
+    board::Invariant newsBeforeLease_{board::newsBeforeLease};
+    board::Invariant configurationsRise_{"each configuration in force is above the one before"};
     std::map<std::string, std::unique_ptr<Service>> services_;
     std::map<int, Service*> byGroup_;
     std::unordered_map<std::string, std::unique_ptr<Store>> stores_;
--- a/tests/system/parents.cpp
+++ b/tests/system/parents.cpp
@@ -69,6 +69,81 @@
     EXPECT_TRUE(next == "10.1.0.2" || next == "10.1.0.3") << "to be tried: '" << next << "'";
 }
 
+// What the agent dials, at the times of its ticks.
+std::vector<std::string> dialled(LinkedAgent& rig, Nanos time) {
+    std::vector<std::string> all;
+    for (const Nanos end = rig.now + time; rig.now < end;) {
+        if (const auto address = rig.agent.dial(rig.now)) {
+            all.push_back(*address);
+            rig.agent.unreachable(*address, rig.now);
+        }
+        rig.pass(millis(100));
+    }
+    return all;
+}
+
+TEST(Parents, AreAllTriedWithinASecondOfASearchAndNoneBefore) {
+    LinkedAgent rig;
+    rig.allFailed();
+    rig.link("10.1.0.1");
+    EXPECT_EQ(dialled(rig, millis(1'500)), std::vector<std::string>());
+    rig.parentHasLease = false;
+    rig.pass(millis(1'000));
+    const auto tried = dialled(rig, millis(1'000));
+    ASSERT_GE(tried.size(), 2u);
+    EXPECT_LE(tried.size(), 5u);  // slower once all have been tried
+    EXPECT_NE(tried[0], tried[1]);
+    EXPECT_EQ(std::count(tried.begin(), tried.end(), "10.1.0.1"), 0);
+    EXPECT_EQ(rig.agent.violations(), 0u);
+}
+
+TEST(Parents, ThatAreLinkedBesideThePresentOneAreTakenOnlyWithALease) {
+    LinkedAgent rig;
+    rig.link("10.1.0.1");
+    rig.pass(millis(500));
+    rig.parentHasLease = false;
+    rig.pass(millis(1'200));
+    const auto reply = [&](int link, Nanos left) {
+        rig.agent.heard(link, granitereel::board::LeaseReply{0, left, {}, 0}.toJson(), rig.now);
+    };
+    ASSERT_EQ(rig.agent.dial(rig.now), "10.1.0.2");
+    rig.agent.dialled(2, "10.1.0.2", rig.now);
+    reply(2, 0);
+    EXPECT_EQ(rig.agent.takeClosed(), std::vector<int>{2});
+    rig.pass(millis(100));
+    ASSERT_EQ(rig.agent.dial(rig.now), "10.1.0.3");
+    rig.agent.dialled(3, "10.1.0.3", rig.now);
+    reply(3, millis(400));
+    EXPECT_EQ(rig.agent.takeClosed(), std::vector<int>{1});  // the former parent
+    rig.parentHasLease = true;
+    rig.pass(millis(300));
+    EXPECT_GT(rig.agent.leaseUntil(), rig.now);
+}
+
+// One that says nothing is given up, and frees its place for others.
+TEST(Parents, ThatSayNothingAreGivenUp) {
+    LinkedAgent rig;
+    rig.link("10.1.0.1");
+    rig.parentHasLease = false;
+    rig.pass(millis(1'000));
+    int link = 1;
+    for (int round = 0; round < 8; ++round) {
+        if (const auto address = rig.agent.dial(rig.now)) rig.agent.dialled(++link, *address, rig.now);
+        rig.pass(millis(1'000));
+        EXPECT_EQ(rig.agent.takeClosed(), std::vector<int>{link}) << round;
+    }
+    EXPECT_EQ(rig.agent.violations(), 0u);
+}
+
+TEST(Parents, InAPauseSinceAllWereAwayAreTriedOnceOneIsBack) {
+    LinkedAgent rig;
+    rig.agent.linkDown(1, rig.now);
+    EXPECT_GE(dialled(rig, millis(7'000)).size(), 30u);
+    rig.link("10.1.0.3");
+    rig.pass(millis(600));
+    EXPECT_EQ(rig.agent.betterParent(), "10.1.0.1");
+}
+
 bool serves(Site& site, const std::string& database) {
     WireClient client(site.frontAddress(), database);
     const auto lines = client.ask("QUERY p" + std::to_string(std::rand()) + " READ x");
