A voter keeps an accepted value in mind until that version is announced

Cause: any news of a register, also of an older version, took it off the list of accepted values that nobody has said to stand; an acknowledged configuration whose proposer died then came into force with the next change only. Change: ControlMember::forgetAnnounced compares versions, at news and behind a repair.

--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -122,7 +122,7 @@
         adopt({record.body.at("epoch").get<std::uint64_t>(),
                record.body.at("voters").get<std::set<std::string>>()});
     if (name.starts_with("member/")) membership_.told(name.substr(7), MemberStanding::fromJson(record.body));
-    unannounced_.erase(name);
+    forgetAnnounced(name);
     stores_.news(name, record, now_);
 }
 
@@ -139,6 +139,15 @@
     return record && record->version >= versionOf(name, value);
 }
 
+// What was accepted here is announced once its own version or a later one is a record; news of an earlier one
+// says nothing of it.
+void ControlMember::forgetAnnounced(const std::string& name) {
+    const auto waits = unannounced_.find(name);
+    if (waits == unannounced_.end()) return;
+    const Json& value = acceptor_.at(name).value;
+    if (value.is_null() || said(name, value)) unannounced_.erase(waits);
+}
+
 // A register's value that is known to stand becomes a record for all.
 void ControlMember::learn(const std::string& name, const Json& value) {
     if (value.is_null()) return;
@@ -434,7 +443,7 @@
                          [this, name](std::optional<Json> stands) {
                              if (!stands) return;
                              learn(name, *stands);
-                             unannounced_.erase(name);
+                             forgetAnnounced(name);
                          }},
                         now, now + changeWithin);
 }
--- a/src/control/member.hpp
+++ b/src/control/member.hpp
@@ -118,6 +118,7 @@
     Json withLeaseLeft(Json message) const;
     void learn(const std::string& name, const Json& value);
     bool said(const std::string& name, const Json& value) const;
+    void forgetAnnounced(const std::string& name);
     std::size_t rank() const;
     void vote(int link, const Json& message);
     void accepted(const std::string& name);
