Known red: an open exchange is kept alive by changes, and its parent by its leases

Hypotheses: any message of boards puts the repeat of an exchange off by 3 s, though it is no answer; and an agent takes a lease for the parent's proof even where it may not count it. Either keeps a process without a lease that counts for as long as changes come. Change: a test of each.

--- a/tests/system/gossip.cpp
+++ b/tests/system/gossip.cpp
@@ -232,6 +232,22 @@
     }
 }
 
+// An answer that got lost is asked for again, also where changes keep the link busy.
+TEST(NewLink, AsksAgainForItsAnswerAmidChanges) {
+    GossipWorld world;
+    world.start(1), world.start(2);
+    world.at(2).put("config", {{1, 0}, {{"edition", 1}}});
+    const int link = world.connect(1, 2);
+    world.deliver(link);
+    world.wires.at(world.wires.at(link).linkAtReceiver).packets.clear();  // the answer
+    for (std::uint64_t edition = 2; edition < 12; ++edition) {
+        world.at(2).put("config", {{edition, 0}, {{"edition", edition}}});
+        world.pass(millis(500));
+    }
+    EXPECT_TRUE(world.at(1).complete(link));
+    EXPECT_TRUE(world.equal(1, 2));
+}
+
 TEST(NewLink, PassesOverWhatAnotherFormatSays) {
     GossipWorld world;
     world.start(1), world.start(2);
--- a/tests/system/parents.cpp
+++ b/tests/system/parents.cpp
@@ -33,7 +33,7 @@
 struct LinkedAgent {
     Nanos now = millis(1'000'000);
     Agent agent{agentSettings(), now};
-    bool parentHasLease = true;
+    bool parentHasLease = true, parentTellsBoard = true;
 
     void link(const std::string& address) { agent.upward(1, address, now); }
     void pass(Nanos time) {
@@ -43,7 +43,7 @@
         }
     }
     void answer(const Agent::Said& said) {
-        if (said.message["k"] == granitereel::board::Inventory::kind)
+        if (said.message["k"] == granitereel::board::Inventory::kind && parentTellsBoard)
             agent.heard(said.link, granitereel::board::Complete{said.message["exchange"], 0}.toJson(), now);
         if (said.message["k"] != granitereel::board::LeaseRequest::kind) return;
         const Nanos left = parentHasLease ? millis(700) : 0;
@@ -135,6 +135,16 @@
     EXPECT_EQ(rig.agent.violations(), 0u);
 }
 
+// A lease counts only with the board behind it: a parent that gives the one without the other is of no use.
+TEST(Parents, ThatGiveLeasesAndTellNothingAreLeft) {
+    LinkedAgent rig;
+    rig.parentTellsBoard = false;
+    rig.link("10.1.0.1");
+    rig.pass(millis(2'500));
+    EXPECT_LE(rig.agent.leaseUntil(), rig.now);
+    EXPECT_EQ(rig.agent.betterParent(), "10.1.0.2");
+}
+
 TEST(Parents, InAPauseSinceAllWereAwayAreTriedOnceOneIsBack) {
     LinkedAgent rig;
     rig.agent.linkDown(1, rig.now);
