Changes are no answer to an exchange; a parent that tells nothing is left

Cause: any message of boards put the repeat of an open exchange off by 3 s, so changes that went on coming did so for ever; and leases that an agent may not count yet kept it at its parent. Change: Gossip counts from what belongs to the exchange; an agent takes no lease for proof while its exchange has brought nothing for 1 s.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -9,6 +9,8 @@
 namespace {
 // Three questions fit into a lease, so that one lost answer does not end it.
 constexpr Nanos askEvery = millis(200);
+// A parent whose exchange of boards has brought nothing for so long tells nothing.
+constexpr Nanos answerWithin = millis(1'000);
 // The number of a candidate's question; those of the parent's begin above it.
 constexpr std::uint64_t candidateQuestion = 0;
 }  // namespace
@@ -172,7 +174,8 @@
         }
     }
     lease_.granted(*asked, reply, complete);
-    if (reply.left <= 0) return;
+    // Without the board behind it a lease is of no use; what comes piece by piece is waited for.
+    if (reply.left <= 0 || gossip_.unansweredFor(up_) > answerWithin) return;
     search_.granted(now);
     barren_ = false;
 }
--- a/src/board/gossip.cpp
+++ b/src/board/gossip.cpp
@@ -45,8 +45,8 @@
     }
     chooseCarriers();
     for (auto& [number, link] : links_) {
-        if ((!link.awaiting && link.wants.empty()) || now - link.heardAt < exchangeAgain) continue;
-        link.heardAt = now;
+        if ((!link.awaiting && link.wants.empty()) || now - link.answeredAt < exchangeAgain) continue;
+        link.answeredAt = now;
         link.wants.clear();
         if (link.side == Side::dialler) beginExchange(number);
     }
@@ -122,7 +122,7 @@
     link = {};
     link.side = side;
     link.peer = peer;
-    link.heardAt = link.aliveAt = now_;
+    link.answeredAt = link.aliveAt = now_;
     chooseCarriers();
     if (side == Side::dialler) beginExchange(number);
 }
@@ -157,6 +157,7 @@
 void Gossip::beginExchange(int number) {
     Link& link = links_.at(number);
     link.awaiting = true;
+    link.answeredAt = now_;
     link.exchange = ++lastExchange_;
     link.listed.clear();
     sendUnconfirmed(number);
@@ -173,6 +174,11 @@
     if (at != links_.end() && at->second.side == Side::dialler) beginExchange(number);
 }
 
+Nanos Gossip::unansweredFor(int number) const {
+    const auto at = links_.find(number);
+    return at == links_.end() || complete(number) ? 0 : now_ - at->second.answeredAt;
+}
+
 bool Gossip::complete(int number) const {
     const auto at = links_.find(number);
     return at != links_.end() && !at->second.awaiting && at->second.wants.empty();
@@ -257,6 +263,7 @@
 
 void Gossip::want(int number, std::vector<HeldVersion> names) {
     Link& link = links_.at(number);
+    if (link.wants.empty() && !link.awaiting) link.answeredAt = now_;
     Want message;
     for (std::size_t at = 0; at == 0 || at < names.size(); at += namesInPiece) {
         const auto first = names.begin() + static_cast<std::ptrdiff_t>(at);
@@ -396,7 +403,11 @@
 void Gossip::heard(int number, const Json& message) {
     const auto at = links_.find(number);
     const std::string kind = message.at("k");
-    if (at != links_.end()) at->second.heardAt = at->second.aliveAt = now_;
+    if (at != links_.end()) {
+        at->second.aliveAt = now_;
+        // Changes that go on coming are no answer to an exchange.
+        if (kind != News::kind) at->second.answeredAt = now_;
+    }
     if (kind == News::kind || kind == News::kindOfAnswer) return take(number, News::fromJson(message));
     if (at == links_.end()) return;
     if (kind == Digest::kind) return take(number, Digest::fromJson(message));
--- a/src/board/gossip.hpp
+++ b/src/board/gossip.hpp
@@ -46,6 +46,8 @@
     void alive(int link);
     // Whether all that the peer of this link held when it sent what comes next is on this board.
     bool complete(int link) const;
+    // For how long an exchange or a question that is open has brought nothing; 0: none is open.
+    Nanos unansweredFor(int link) const;
     // What the peer holds is asked for anew over this link, which the caller found to lack some of it.
     void exchangeAnew(int link);
     // Whether this record was missed for so long that it may be gone; who has fresh word of it puts it anew.
@@ -72,8 +74,8 @@
         std::uint64_t exchange = 0;
         std::map<std::string, Version> listed;  // of an inventory in pieces
         std::map<std::uint64_t, std::set<std::string>> wants;
-        Nanos heardAt = 0;  // a message of boards
-        Nanos aliveAt = 0;  // any message
+        Nanos answeredAt = 0;  // something of the exchange, or its beginning
+        Nanos aliveAt = 0;     // any message
     };
 
     void beginExchange(int link);
