--- a/standins/process.hpp
+++ b/standins/process.hpp
@@ -74,6 +74,14 @@
         if (reader_.joinable()) reader_.join();
         return code_;
     }
+    // Whether it has not ended yet; its end is then at hand by end().
+    bool running() {
+        int status = 0;
+        if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) == 0) return pid_ > 0;
+        pid_ = 0;
+        code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+        return false;
+    }
     int kill() {
         signal(SIGKILL);
         return end();
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -88,15 +88,16 @@
 
 std::string Site::settings(const std::string& name) {
     const bool control = name.starts_with("control");
-    const int machine = control ? std::stoi(name.substr(8)) : members_;
+    const int machine = machineOf(name) - 1;
     const std::string path = folder_ + "/" + name + ".toml", data = folder_ + "/" + name;
     // Members beyond the first ones are newcomers.
     const bool first = !fs::exists(path) && (!control || machine < members_);
     std::ofstream out(path);
     const std::string p = std::to_string(port_);
     out << "station = \"" << name << "\"\nip_addr = \"" << ip(machine) << "\"\ndistrict = \""
-        << (elsewhere.count(name) ? "elsewhere" : "here") << "\"\nfirst_boot = " << (first ? "true" : "false")
-        << "\nspare_ports = [" << port_ + 1 << ", " << port_ + 8 << "]\nseed_list = [";
+        << (districts.count(name) ? districts.at(name) : "here")
+        << "\"\nfirst_boot = " << (first ? "true" : "false") << "\nspare_ports = [" << port_ + 1 << ", "
+        << port_ + 8 << "]\nseed_list = [";
     for (int i = 0; i < std::min(3, members_); ++i)
         out << (i ? ", " : "") << "\"" << ip(i) << ":" << p << "\"";
     out << "]\n";
@@ -115,10 +116,33 @@
     return path;
 }
 
+int Site::machineOf(const std::string& name) const {
+    constexpr int furtherFronts = 40;  // beyond any member
+    const auto dash = name.find('-');
+    if (dash == name.npos) return members_ + 1;
+    const int number = std::stoi(name.substr(dash + 1));
+    return 1 + number + (name.starts_with("control") ? 0 : furtherFronts);
+}
+
+Switchboard& Site::useSwitchboard() {
+    std::promise<void> made;
+    boost::asio::post(loop, [&] {
+        switchboard_ = std::make_unique<Switchboard>(loop, std::to_string(port_ % 250), port_ + 1,
+                                                     folder_ + "/switch-table");
+        made.set_value();
+    });
+    made.get_future().get();
+    return *switchboard_;
+}
+
 void Site::start(const std::string& name) {
     const std::string command = name.substr(0, name.find('-'));
-    processes_[name] = std::make_unique<Process>(
-        SYSTEM_PROGRAM, std::vector<std::string>{command, "--settings", settings(name)}, name);
+    std::vector<std::string> words{SYSTEM_PROGRAM, command, "--settings", settings(name)};
+    if (switchboard_) {
+        const auto environment = switchboard_->environmentOf(machineOf(name));
+        words.insert(words.begin(), environment.begin(), environment.end());
+    }
+    processes_[name] = std::make_unique<Process>("/usr/bin/env", std::move(words), name);
 }
 
 void Site::signal(const std::string& name, int number) {
@@ -170,8 +194,33 @@
     return done.get_future().get();
 }
 
-std::string Site::frontAddress() const {
-    return ip(members_) + ":" + std::to_string(port_);
+void Site::order(int member, const std::string& body, int within_ms, std::function<void(int)> done) {
+    boost::asio::post(loop, [this, member, body, within_ms, done = std::move(done)] {
+        transport::httpCall(loop, endpointOf(ip(member) + ":" + std::to_string(port_)), "PUT", "/config", {},
+                            body, within_ms, done);
+    });
+}
+
+std::string Site::get(int member, const std::string& path) {
+    const auto where = endpointOf(ip(member) + ":" + std::to_string(port_));
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const timeval wait{2, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+    std::string all;
+    const std::string request = "GET " + path + " HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n";
+    if (::connect(socket, where.data(), static_cast<socklen_t>(where.size())) == 0 &&
+        ::send(socket, request.data(), request.size(), MSG_NOSIGNAL) > 0) {
+        char bytes[16384];
+        for (ssize_t n; (n = ::recv(socket, bytes, sizeof bytes, 0)) > 0;)
+            all.append(bytes, static_cast<std::size_t>(n));
+    }
+    ::close(socket);
+    const auto head = all.find("\r\n\r\n");
+    return all.starts_with("HTTP/1.1 200") && head != all.npos ? all.substr(head + 4) : "";
+}
+
+std::string Site::frontAddress(const std::string& proxy) const {
+    return ip(machineOf(proxy) - 1) + ":" + std::to_string(port_);
 }
 
 std::string Site::configuration(int edition, const std::string& more) const {
@@ -193,7 +242,7 @@
     if (!more.empty()) route(more, "own");
     return nlohmann::json{{"edition", edition},
                           {"itineraries", routes},
-                          {"depots", {{{"label", "svc"}, {"berth_cap", 40}, {"sync_replicas", 1}}}},
+                          {"depots", {{{"label", "svc"}, {"berth_cap", berthCap}, {"sync_replicas", 1}}}},
                           {"limits", {{"tx_idle_ms", 3000}}}}
         .dump();
 }
--- a/standins/site.hpp
+++ b/standins/site.hpp
@@ -6,12 +6,13 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <future>
+#include <map>
 #include <memory>
-#include <set>
 #include <thread>
 
 #include "databases.hpp"
 #include "process.hpp"
+#include "standins/switchboard.hpp"
 #include "transport/http.hpp"
 #include "transport/stream.hpp"
 
@@ -24,8 +25,14 @@
     ~Site();
 
     // Processes by name: "control-0", ..., "agent", "proxy"; a control of a number above `members` is a
-    // newcomer at an address of its own. A wipe takes the member's disk.
+    // newcomer at an address of its own. Further fronts are "agent-0", "proxy-0", ... A wipe takes the
+    // member's disk.
     void start(const std::string& name);
+    // From now on the links of processes that start go by a switchboard.
+    Switchboard& useSwitchboard();
+    // The last byte of the address of the process's machine.
+    int machineOf(const std::string& name) const;
+    Process& process(const std::string& name) const { return *processes_.at(name); }
     void signal(const std::string& name, int number);
     // Its exit code; the process must have been told to end.
     int end(const std::string& name);
@@ -48,13 +55,18 @@
     // HTTP to a member of control: the status, 0 for none.
     int put(int member, const std::string& path, const std::string& body);
     int ready();
-    std::string frontAddress() const;
+    // The same without waiting, and no matter who comes first: `done` is called in the site's own thread.
+    void order(int member, const std::string& body, int within_ms, std::function<void(int status)> done);
+    // The body of a 200 from a member of control; else empty.
+    std::string get(int member, const std::string& path);
+    std::string frontAddress(const std::string& proxy = "proxy") const;
     std::string configuration(int edition, const std::string& more = "") const;
 
     boost::asio::io_context loop{1};
     Databases databases{"svc", 3, 1};
-    // Processes that are in another district than the stores and all others; said before they start.
-    std::set<std::string> elsewhere;
+    // The districts of processes that are in another than "here"; said before they start.
+    std::map<std::string, std::string> districts;
+    int berthCap = 40;
     std::atomic<int> promotions{0};
 
 private:
@@ -70,6 +82,7 @@
     std::map<std::string, std::unique_ptr<Process>> processes_;
     std::vector<std::unique_ptr<transport::Listener>> listeners_;
     std::unique_ptr<transport::HttpServer> platform_;
+    std::unique_ptr<Switchboard> switchboard_;
     std::map<std::string, std::map<int, std::shared_ptr<transport::Stream>>> open_;
     boost::asio::steady_timer timer_{loop};
     int seq_ = 0, asked_ = 0;
--- a/tests/system/parents.cpp
+++ b/tests/system/parents.cpp
@@ -163,7 +163,7 @@
 TEST(Parents, OfRealProcessesAreLeftInTimeAfterAllWereAway) {
     Site site(3, 21900);
     const std::vector<std::string> control{"control-0", "control-1", "control-2"};
-    site.elsewhere = {"control-1", "control-2"};
+    site.districts = {{"control-1", "elsewhere"}, {"control-2", "elsewhere"}};
     for (const std::string& member : control) site.start(member);
     site.start("agent");
     site.start("proxy");
