Known red: SIGHUP while waiting for the disk; a lost parent counted as untried

Hypotheses: signals get their handlers only once the disk is open; the parent that was left open in a search loses its mark with its lease. Change: a test of each.

--- a/standins/site.hpp
+++ b/standins/site.hpp
@@ -37,6 +37,8 @@
     // Its exit code; the process must have been told to end.
     int end(const std::string& name);
     void wipe(const std::string& name);
+    // Where a member keeps its state.
+    std::string dataPath(const std::string& name) const { return folder_ + "/" + name; }
     // Waits until it has logged the text, in line `from` or later.
     void logged(const std::string& name, const std::string& text, std::size_t from = 0);
     // How many lines it has logged so far.
--- a/tests/system/parents.cpp
+++ b/tests/system/parents.cpp
@@ -145,6 +145,19 @@
     EXPECT_EQ(rig.agent.betterParent(), "10.1.0.2");
 }
 
+// A parent that gave no lease has been tried, also once its link is gone.
+TEST(Parents, ThatAreLostDuringASearchCountAsTried) {
+    LinkedAgent rig;
+    rig.link("10.1.0.1");
+    rig.pass(millis(500));
+    rig.parentHasLease = false;
+    rig.pass(millis(1'000));
+    dialled(rig, millis(2'900));
+    rig.agent.linkDown(1, rig.now);
+    rig.pass(millis(200));
+    EXPECT_EQ(rig.agent.violations(), 0u);
+}
+
 TEST(Parents, InAPauseSinceAllWereAwayAreTriedOnceOneIsBack) {
     LinkedAgent rig;
     rig.agent.linkDown(1, rig.now);
--- a/tests/system/processes.cpp
+++ b/tests/system/processes.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 
 #include "standins/site.hpp"
 
@@ -168,4 +169,16 @@
     for (int i = 0; i < 3; ++i) site.signal("control-" + std::to_string(i), SIGCONT);
     EXPECT_TRUE(site.until([&] { return site.put(1, "/config", site.configuration(7, "late")) == 200; }));
 }
+// A signal that comes before a member is ready for it is no reason to end.
+TEST(Processes, StayWhenToldToReadTheirSettingsWhileTheyWaitForTheirDisk) {
+    Site site(3, 21500);
+    const std::string unreadable = site.dataPath("control-0") + "/identity";
+    std::filesystem::create_directories(unreadable);
+    site.start("control-0");
+    site.logged("control-0", "waiting for the disk");
+    site.signal("control-0", SIGHUP);
+    EXPECT_FALSE(site.until([&] { return !site.process("control-0").running(); }, 300));
+    std::filesystem::remove(unreadable);
+    site.logged("control-0", "control serves");
+}
 }  // namespace
