SIGHUP ends no process that starts; a lost parent counts as tried

Change: SIGHUP is ignored from the first lines of main until a process handles it; a parent found without a lease keeps its mark. The soak sends no SIGHUP before a process's first line, as one before main can't be met.

--- a/src/agent/parent_search.cpp
+++ b/src/agent/parent_search.cpp
@@ -23,6 +23,8 @@
 }  // namespace
 
 void ParentSearch::linked(const std::string& parent, Nanos now) {
+    // A parent that was found to give no lease has been tried in this search, from when it was linked.
+    if (barren(now)) triedAt_[parent_] = linkedAt_;
     parent_ = parent;
     linkedAt_ = grantedAt_ = now;
     if (!parent.empty()) triedAt_[parent] = now;
--- a/src/system.cpp
+++ b/src/system.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <csignal>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -80,6 +81,8 @@
         spdlog::set_default_logger(spdlog::stdout_logger_st(command));
         spdlog::set_pattern("%H:%M:%S.%e %l %v");
         spdlog::flush_on(spdlog::level::info);
+        // Until a process has its own handler the signal must not end it.
+        std::signal(SIGHUP, SIG_IGN);
         if (command == "proxy") return proxy::serve(settings::read(path), path);
         if (command == "agent") return agent::serve(settings::read(path), path, told.count("hollow") > 0);
         if (command == "control") return control::serve(settings::read(path), path);
