Search rounds slow down to one dial a second; addresses are ranked only when dialled

Cause: reading the mend again at two years' size: with no lease anywhere 4,400 agents would dial three times a second each, and each agent sorted its parents twice in 100 ms. Change: a round behind the first is 1 s a dial, a better parent is looked for every 0.5 s, and parents are ranked only then or in a search.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -50,7 +50,7 @@
 // ---- links upwards --------------------------------------------------------------------------------
 
 std::optional<std::string> Agent::dial(Nanos now) {
-    return search_.dial(preferred(), now);
+    return search_.mayDial(now) ? search_.dial(preferred(), now) : std::nullopt;
 }
 
 void Agent::dialled(int link, const std::string& address, Nanos now) {
@@ -196,7 +196,7 @@
         log("parent " + search_.parent() + " gives no lease: others are tried");
         shun(search_.parent(), now);
     }
-    log(search_.tick(preferred(), now));
+    if (search_.searching(now)) log(search_.tick(preferred(), now));
 }
 
 }  // namespace granitereel::agent
--- a/src/agent/parent_search.cpp
+++ b/src/agent/parent_search.cpp
@@ -12,10 +12,11 @@
 // are tried beside it.
 constexpr int dialsMost = 3;
 constexpr Nanos dialEvery = millis(100);
-// Once all have been tried in vain, a further round is slower: many agents may be searching.
-constexpr Nanos dialAgainEvery = millis(300);
-// A new link is given so long before a better one is sought.
-constexpr Nanos settledAfter = millis(500);
+// Once all have been tried in vain, a further round is slower: thousands of agents may be searching while no
+// member has a lease.
+constexpr Nanos dialAgainEvery = millis(1'000);
+// A new link is given so long before a better one is sought, which is then looked for as often.
+constexpr Nanos betterEvery = millis(500);
 // All must have been tried within this, and so much more for each address.
 constexpr Nanos triedWithin = millis(1'000), triedWithinEach = millis(650);
 // A longer time between two ticks was no search: the process stood still.
@@ -25,6 +26,7 @@
 void ParentSearch::linked(const std::string& parent, Nanos now) {
     // A parent that was found to give no lease has been tried in this search, from when it was linked.
     if (barren(now)) triedAt_[parent_] = linkedAt_;
+    if (parent.empty()) nextDialAt_ = std::min(nextDialAt_, now + dialEvery);
     parent_ = parent;
     linkedAt_ = grantedAt_ = now;
     if (!parent.empty()) triedAt_[parent] = now;
@@ -38,6 +40,7 @@
         pauses_.clear();
     grantedAt_ = now;
     searchedFor_ = 0;
+    nextDialAt_ = std::min(nextDialAt_, now + dialEvery);
     triedAt_.clear();
     pauses_.erase(parent_);
 }
@@ -87,10 +90,14 @@
     return first;
 }
 
+bool ParentSearch::mayDial(Nanos now) const {
+    if (searching(now)) return now >= nextDialAt_ && dialsUnderWay_ < dialsMost;
+    return now >= nextBetterAt_ && dialsUnderWay_ == 0 && now - linkedAt_ > betterEvery;
+}
+
 std::optional<std::string> ParentSearch::dial(const Addresses& preferred, Nanos now) {
-    const bool search = searching(now);
-    if (now < nextDialAt_ || dialsUnderWay_ >= (search ? dialsMost : 1)) return std::nullopt;
-    if (!search && now - linkedAt_ <= settledAfter) return std::nullopt;
+    if (!mayDial(now)) return std::nullopt;
+    nextBetterAt_ = now + betterEvery;
     std::optional<std::string> address = wanted(preferred, now);
     if (!address) return std::nullopt;
     const bool again = !parent_.empty() && triedAt_.count(*address);
@@ -112,7 +119,6 @@
         searched_ = preferred;
         searchedFor_ = 0;
     }
-    if (!searching(now)) return std::nullopt;
     searchedFor_ += passed;
     const Nanos bound = triedWithin + static_cast<Nanos>(preferred.size()) * triedWithinEach;
     const std::size_t left = searchedFor_ <= bound ? 0 : untried(preferred);
--- a/src/agent/parent_search.hpp
+++ b/src/agent/parent_search.hpp
@@ -28,6 +28,8 @@
     // No link could be had to the address, or no lease from it: a pause, which doubles.
     void failed(const std::string& address, Nanos now);
     const std::string& parent() const { return parent_; }
+    // Whether there is no parent that gives leases.
+    bool searching(Nanos now) const { return parent_.empty() || barren(now); }
     bool barren(Nanos now) const { return !parent_.empty() && now - grantedAt_ > barrenAfter; }
     // Whether the address is worth more than the present parent: it gives no lease, or is less preferred.
     bool improves(const std::string& address, const Addresses& preferred, Nanos now) const;
@@ -36,10 +38,12 @@
     Addresses ranked(const Addresses& preferred, Nanos now) const;
     // What is to be tried beside the present parent, or in its place.
     std::optional<std::string> wanted(const Addresses& preferred, Nanos now) const;
+    // Whether it is time for a dial; else the addresses need not be looked up.
+    bool mayDial(Nanos now) const;
     // The address to dial now, if any; counts as under way until dialEnded().
     std::optional<std::string> dial(const Addresses& preferred, Nanos now);
     void dialEnded() { --dialsUnderWay_; }
-    // Time passes. Returns a line for the log where the invariant below is broken.
+    // Time passes during a search. Returns a line for the log where the invariant below is broken.
     std::optional<std::string> tick(const Addresses& preferred, Nanos now);
     // An agent without a lease has tried every other parent within a time that their number gives.
     const board::Invariant& allTried() const { return allTried_; }
@@ -48,12 +52,11 @@
     struct Pause {
         Nanos until = 0, length = 0;
     };
-    bool searching(Nanos now) const { return parent_.empty() || barren(now); }
     bool better(const std::string& address, const Addresses& preferred) const;
     std::size_t untried(const Addresses& preferred) const;
 
     std::string parent_;
-    Nanos linkedAt_ = 0, grantedAt_ = 0, nextDialAt_ = 0;
+    Nanos linkedAt_ = 0, grantedAt_ = 0, nextDialAt_ = 0, nextBetterAt_ = 0;
     int dialsUnderWay_ = 0;
     std::map<std::string, Pause> pauses_;
     std::map<std::string, Nanos> triedAt_;  // since the last lease
