--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -69,10 +69,10 @@
 
 void Agent::unreachable(const std::string& address, Nanos now) {
     search_.dialEnded();
-    shun(address, now);
+    backOff(address, now);
 }
 
-void Agent::shun(const std::string& address, Nanos now) {
+void Agent::backOff(const std::string& address, Nanos now) {
     search_.failed(address, now);
 }
 
@@ -86,7 +86,7 @@
         if (link != 0) closed_.push_back(up_);
     }
     up_ = link;
-    barren_ = false;
+    reportedWithoutLease_ = false;
     search_.linked(link == 0 ? "" : address, now);
     questions_.forget();
     askedAt_ = 0;
@@ -103,7 +103,7 @@
 void Agent::giveUp(int link, Nanos now) {
     const auto at = candidates_.find(link);
     log(at->second.address + " gives no lease");
-    shun(at->second.address, now);
+    backOff(at->second.address, now);
     candidates_.erase(at);
     search_.dialEnded();
     closed_.push_back(link);
@@ -177,7 +177,7 @@
     // Without the board behind it a lease is of no use; what comes piece by piece is waited for.
     if (reply.left <= 0 || gossip_.unansweredFor(up_) > answerWithin) return;
     search_.granted(now);
-    barren_ = false;
+    reportedWithoutLease_ = false;
 }
 
 void Agent::tick(Nanos now) {
@@ -190,11 +190,11 @@
     }
     std::vector<int> silent;
     for (const auto& [link, candidate] : candidates_)
-        if (now - candidate.since > ParentSearch::barrenAfter) silent.push_back(link);
+        if (now - candidate.since > ParentSearch::leaseMissingAfter) silent.push_back(link);
     for (const int link : silent) giveUp(link, now);
-    if (search_.barren(now) && !std::exchange(barren_, true)) {
+    if (search_.withoutLease(now) && !std::exchange(reportedWithoutLease_, true)) {
         log("parent " + search_.parent() + " gives no lease: others are tried");
-        shun(search_.parent(), now);
+        backOff(search_.parent(), now);
     }
     if (search_.searching(now)) log(search_.tick(preferred(), now));
 }
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -43,7 +43,7 @@
     // The upward link is that of `address`; 0 as `link`: it is lost.
     void upward(int link, const std::string& address, Nanos now);
     // No link could be had to it, or no lease: others go before it for a while, which doubles.
-    void shun(const std::string& address, Nanos now);
+    void backOff(const std::string& address, Nanos now);
     void linkUp(int link, Nanos now);  // an agent below, or the proxy
     void linkDown(int link, Nanos now);
     void heard(int link, const Json& message, Nanos now);
@@ -87,7 +87,7 @@
     board::ContactWatch contact_;
     board::Invariant newsBeforeLease_;
     Nanos askedAt_ = 0, now_ = 0;
-    bool barren_ = false;  // the parent was found to give no lease
+    bool reportedWithoutLease_ = false;  // the parent was found to give no lease
 };
 
 }  // namespace granitereel::agent
--- a/src/agent/parent_search.cpp
+++ b/src/agent/parent_search.cpp
@@ -7,7 +7,7 @@
 namespace granitereel::agent {
 
 namespace {
-constexpr Nanos shortestPause = millis(2'000), longestPause = millis(16'000);
+constexpr Nanos shortestBackoff = millis(2'000), longestBackoff = millis(16'000);
 // Connections that may be on their way at once: a machine without power says nothing for a second, and others
 // are tried beside it.
 constexpr int dialsMost = 3;
@@ -25,7 +25,7 @@
 
 void ParentSearch::linked(const std::string& parent, Nanos now) {
     // A parent that was found to give no lease has been tried in this search, from when it was linked.
-    if (barren(now)) triedAt_[parent_] = linkedAt_;
+    if (withoutLease(now)) triedAt_[parent_] = linkedAt_;
     if (parent.empty()) nextDialAt_ = std::min(nextDialAt_, now + dialEvery);
     parent_ = parent;
     linkedAt_ = grantedAt_ = now;
@@ -35,30 +35,31 @@
 void ParentSearch::granted(Nanos now) {
     // Where all failed, it was this process that was cut off: that tells nothing of the others.
     const bool searched = searchedFor_ > 0 && !searched_.empty();
-    if (searched && std::all_of(searched_.begin(), searched_.end(),
-                                [&](const auto& each) { return each == parent_ || pauses_.count(each) > 0; }))
-        pauses_.clear();
+    if (searched && std::all_of(searched_.begin(), searched_.end(), [&](const auto& each) {
+            return each == parent_ || backoffs_.count(each) > 0;
+        }))
+        backoffs_.clear();
     grantedAt_ = now;
     searchedFor_ = 0;
     nextDialAt_ = std::min(nextDialAt_, now + dialEvery);
     triedAt_.clear();
-    pauses_.erase(parent_);
+    backoffs_.erase(parent_);
 }
 
 void ParentSearch::failed(const std::string& address, Nanos now) {
-    Pause& pause = pauses_[address];
-    pause.length = std::clamp(2 * pause.length, shortestPause, longestPause);
-    pause.until = now + pause.length;
+    Backoff& backoff = backoffs_[address];
+    backoff.length = std::clamp(2 * backoff.length, shortestBackoff, longestBackoff);
+    backoff.until = now + backoff.length;
 }
 
-bool ParentSearch::paused(const std::string& address, Nanos now) const {
-    const auto at = pauses_.find(address);
-    return at != pauses_.end() && now < at->second.until;
+bool ParentSearch::backedOff(const std::string& address, Nanos now) const {
+    const auto at = backoffs_.find(address);
+    return at != backoffs_.end() && now < at->second.until;
 }
 
 ParentSearch::Addresses ParentSearch::ranked(const Addresses& preferred, Nanos now) const {
     Addresses all = preferred;
-    std::stable_partition(all.begin(), all.end(), [&](const auto& each) { return !paused(each, now); });
+    std::stable_partition(all.begin(), all.end(), [&](const auto& each) { return !backedOff(each, now); });
     return all;
 }
 
@@ -75,14 +76,14 @@
 std::optional<std::string> ParentSearch::wanted(const Addresses& preferred, Nanos now) const {
     if (!searching(now)) {
         const auto at = std::find_if(preferred.begin(), preferred.end(),
-                                     [&](const auto& each) { return !paused(each, now); });
+                                     [&](const auto& each) { return !backedOff(each, now); });
         if (at == preferred.end() || !better(*at, preferred)) return std::nullopt;
         return *at;
     }
-    // The one whose last try is longest ago; of those not tried yet, one in no pause.
+    // The one whose last try is longest ago; of those not tried yet, one without a back-off.
     const auto rank = [&](const std::string& address) {
         const auto tried = triedAt_.find(address);
-        return std::tuple(tried == triedAt_.end() ? Nanos(0) : tried->second, paused(address, now));
+        return std::tuple(tried == triedAt_.end() ? Nanos(0) : tried->second, backedOff(address, now));
     };
     std::optional<std::string> first;
     for (const std::string& each : preferred)
--- a/tests/system/parents.cpp
+++ b/tests/system/parents.cpp
@@ -53,7 +53,7 @@
     // The agent itself was cut off for so long that each address failed often.
     void allFailed() {
         for (int dial = 0; dial < 6; ++dial)
-            for (const char* address : {"10.1.0.1", "10.1.0.2", "10.1.0.3"}) agent.shun(address, now);
+            for (const char* address : {"10.1.0.1", "10.1.0.2", "10.1.0.3"}) agent.backOff(address, now);
     }
 };
 
@@ -158,7 +158,7 @@
     EXPECT_EQ(rig.agent.violations(), 0u);
 }
 
-TEST(Parents, InAPauseSinceAllWereAwayAreTriedOnceOneIsBack) {
+TEST(Parents, BackedOffSinceAllWereAwayAreTriedOnceOneIsBack) {
     LinkedAgent rig;
     rig.agent.linkDown(1, rig.now);
     EXPECT_GE(dialled(rig, millis(7'000)).size(), 30u);
