--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -16,18 +16,10 @@
 using transport::endpointOf;
 using transport::Stream;
 
-namespace {
-// In memory where that is at hand: a sync of a disk that others write to may take seconds, longer than the
-// members' own deadlines. Disks that are slow, hang or refuse are tested with ones of our own (faulty_disk).
-fs::path folderForState() {
-    const fs::path inMemory = "/dev/shm";
-    return fs::is_directory(inMemory) ? inMemory : fs::temp_directory_path();
-}
-}  // namespace
-
 Site::Site(int members, int port) : members_(members), port_(port) {
     folder_ =
-        (folderForState() / ("site-" + std::to_string(port) + "-" + std::to_string(::getpid()))).string();
+        (fs::temp_directory_path() / ("site-" + std::to_string(port) + "-" + std::to_string(::getpid())))
+            .string();
     fs::create_directories(folder_);
     for (const std::string& store : databases.names())
         listeners_.push_back(std::make_unique<transport::Listener>(
