--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -13,7 +13,7 @@
     static constexpr int members = 3;
     Service service;
     std::function<void(const std::string& store, std::uint64_t fence)> onPromotionCall;  // before it is handled
-    int districtMs = 0;
+    int deadline_ms = 2000;  // of all routes
 
     Deployment(std::string program, std::string firstPrimary)
         : service("svc", std::move(firstPrimary)), program_(std::move(program)) {
@@ -85,7 +85,7 @@
                               {"path_prefix", "/"},
                               {"mode", mode},
                               {"depot", "svc"},
-                              {"deadline_ms", 2000},
+                              {"deadline_ms", deadline_ms},
                               {"target_ms", 200},
                               {"precedence", 1},
                               {"tries", 2}});
