review: case 3 by planned work alone, a primary that leaves by DELETE

Cause: a primary whose record is removed starts no planned change of the lead, so nobody leads once it has said DELETE; a front that is stopped then cuts the statements that wait.

Added: TROUBLE=delete in the script of case 3, with its line in the claim and the report.

--- a/review/standin/case3.cpp
+++ b/review/standin/case3.cpp
@@ -1,5 +1,6 @@
 // A replica is lost for good; some time later the primary leaves as planned, and later still the front's machine is
-// stopped. TROUBLE: 1 all of it, 0 nothing of it; "stop": only the machine is stopped; "leave": no replica is lost.
+// stopped. TROUBLE: 1 all of it, 0 nothing of it; "stop": only the machine is stopped; "leave": no replica is lost;
+// "delete": no replica is lost, and the primary leaves by DELETE alone, without winding_down.
 #include "deployment.hpp"
 
 using namespace review;
@@ -10,7 +11,8 @@
     record.open(argv[2]);
     record.line("case 3, TROUBLE=%s", trouble.c_str());
     constexpr double drain = 7.0, grace = 6.0, slack = 0.2, deadline = 3.0;
-    const bool loses = trouble == "1", leaves = trouble == "1" || trouble == "leave", stops = trouble != "0";
+    const bool loses = trouble == "1", deletes = trouble == "delete";
+    const bool leaves = trouble == "1" || trouble == "leave" || deletes, stops = trouble != "0";
     Deployment site(program, "i-p");
     site.deadline_ms = static_cast<int>(1000 * deadline);
     Service& service = site.service;
@@ -28,18 +30,27 @@
         site.addStore("i-c", 4);  // the new store starts first
         record.line("store i-c: started");
         sleepFor(3.0);
-        {
-            const std::lock_guard<std::mutex> lock(service.mutex);
-            service.stores.at("i-p")->standing = "winding_down";
+        const auto sendDelete = [&] {
+            {
+                const std::lock_guard<std::mutex> lock(service.mutex);
+                service.stores.at("i-p")->listed = false;
+            }
+            const bool acknowledged = site.storeCall("DELETE", "i-p", "");
+            record.line("store i-p: DELETE %s", acknowledged ? "acknowledged" : "not acknowledged");
+        };
+        if (deletes) {
+            sendDelete();
+        } else {
+            {
+                const std::lock_guard<std::mutex> lock(service.mutex);
+                service.stores.at("i-p")->standing = "winding_down";
+            }
+            if (!site.storeCall("PUT", "i-p", site.beatOf("i-p")))
+                return record.line("not acknowledged"), std::_Exit(2), 2;
+            record.line("store i-p: winding_down acknowledged");
         }
-        if (!site.storeCall("PUT", "i-p", site.beatOf("i-p"))) return record.line("not acknowledged"), std::_Exit(2), 2;
-        record.line("store i-p: winding_down acknowledged");
         sleepFor(drain + 1.0);
-        {
-            const std::lock_guard<std::mutex> lock(service.mutex);
-            service.stores.at("i-p")->listed = false;
-        }
-        record.line("store i-p: DELETE %s", site.storeCall("DELETE", "i-p", "") ? "acknowledged" : "not acknowledged");
+        if (!deletes) sendDelete();
         service.crash("i-p");
     } else {
         sleepFor(3.0 + drain + 1.0);
