review: the script of case 3 needs planned work alone

Cause: the script lost a replica for good, and a reader could hold that trouble to last. A primary that leaves by DELETE comes to the same without any unplanned trouble.

Added: that as the script's disruption; the lost replica stays as TROUBLE=lost.

--- a/review/standin/case3.cpp
+++ b/review/standin/case3.cpp
@@ -1,6 +1,6 @@
-// A replica is lost for good; some time later the primary leaves as planned, and later still the front's machine is
-// stopped. TROUBLE: 1 all of it, 0 nothing of it; "stop": only the machine is stopped; "leave": no replica is lost;
-// "delete": no replica is lost, and the primary leaves by DELETE alone, without winding_down.
+// The primary leaves as planned, by DELETE alone, and later the front's machine is stopped. TROUBLE: 1 both, 0 neither;
+// "stop": only the machine is stopped; "leave": the primary leaves by winding_down first; "lost": the same, and a
+// replica was lost for good some seconds before.
 #include "deployment.hpp"
 
 using namespace review;
@@ -11,8 +11,8 @@
     record.open(argv[2]);
     record.line("case 3, TROUBLE=%s", trouble.c_str());
     constexpr double drain = 7.0, grace = 6.0, slack = 0.2, deadline = 3.0;
-    const bool loses = trouble == "1", deletes = trouble == "delete";
-    const bool leaves = trouble == "1" || trouble == "leave" || deletes, stops = trouble != "0";
+    const bool loses = trouble == "lost", deletes = trouble == "1";
+    const bool leaves = trouble == "leave" || loses || deletes, stops = trouble != "0";
     Deployment site(program, "i-p");
     site.deadline_ms = static_cast<int>(1000 * deadline);
     Service& service = site.service;
