--- a/review/rig-2/cases.cpp
+++ b/review/rig-2/cases.cpp
@@ -19,7 +19,7 @@
 namespace {
 const bool trouble = !std::getenv("TROUBLE") || std::strcmp(std::getenv("TROUBLE"), "0") != 0;
 // As in the settings that the processes are given.
-constexpr double grace = 6.0, drain = 7.0, contact = 4.0, recovery = 12.0;
+constexpr double grace = 6.0, drain = 7.0, contact = 4.0;
 
 struct Site {
     Site(const std::string& root, const std::string& folder, double workSeconds,
@@ -286,66 +286,6 @@
     if (told.size() < 50 || promotions.empty()) return 2;
     return broken > 0 ? 1 : 0;
 }
-
-// RECOVER. The closing fault kills all processes of the system; the primary crashes for good while
-// they are down.
-// CRASH=0 and KILL=0 leave out one of the two.
-int recover(Site& site) {
-    const auto wanted = [](const char* name) {
-        return trouble && !(std::getenv(name) && std::strcmp(std::getenv(name), "0") == 0);
-    };
-    struct Request {
-        double sent;
-        bool served;
-    };
-    std::mutex lock;
-    std::vector<Request> requests;
-    std::atomic<bool> over{false};
-    std::vector<std::thread> clients;
-    for (int number = 0; number < 6; ++number)
-        clients.emplace_back([&, number] {
-            std::unique_ptr<Client> client;
-            const bool reads = number % 2 == 0;
-            for (int statement = 0; !over; ++statement) {
-                sleepFor(0.05);
-                const std::string id = "q" + std::to_string(number) + "n" + std::to_string(statement);
-                const double sent = now();
-                // A session that can't be opened is a request that was not served, too.
-                if (!client || !client->open())
-                    client = std::make_unique<Client>(site.system.front(), reads ? "board" : "desk");
-                std::string outcome;
-                if (client->open()) outcome = client->ask(id, reads ? "READ 1a" : "WRITE 1a " + id);
-                record("client sends " + id + ", gets " + (outcome.empty() ? "no answer" : outcome));
-                const std::lock_guard hold(lock);
-                requests.push_back({sent, outcome == "DONE"});
-            }
-        });
-    sleepFor(4);
-    const double fault = now();
-    const std::vector<std::string> all{"control-1", "control-2", "control-3", "agent", "proxy"};
-    if (wanted("KILL")) {
-        for (const std::string& name : all) site.system.signal(name, SIGKILL);
-        for (const std::string& name : all) site.system.waitForEnd(name, 1);
-    }
-    if (wanted("CRASH")) site.stores.crash(site.stores.lead());
-    if (wanted("KILL")) {
-        sleepFor(1.0);
-        for (const std::string& name : all) site.system.start(name, false);
-    }
-    const double back = now();
-    sleepFor(recovery + 15);
-    over = true;
-    for (std::thread& client : clients) client.join();
-    int before = 0, servedBefore = 0, after = 0, servedAfter = 0;
-    for (const Request& request : requests) {
-        if (request.sent < fault) ++before, servedBefore += request.served;
-        if (request.sent > back + recovery) ++after, servedAfter += request.served;
-    }
-    record("before the fault " + std::to_string(servedBefore) + " of " + std::to_string(before) +
-           " served; later than recovery_s after it " + std::to_string(servedAfter) + " of " + std::to_string(after));
-    if (before < 50 || 4 * servedBefore < before || after < 10) return 2;
-    return 4 * servedAfter < after ? 1 : 0;
-}
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -360,7 +300,7 @@
         const std::map<std::string, double> lags{{"s0", 0.06}, {"s1", 0.1}, {"s2", 0.03}};
         auto site = std::make_unique<Site>(argv[2], argv[3], name == "lost" ? 0.2 : 0.011, lags);
         if (site->begin())
-            code = name == "lost" ? lost(*site) : name == "late-beat" ? lateBeat(*site) : name == "restart" ? restart(*site) : name == "recover" ? recover(*site) : name == "slow-platform" ? slowPlatform(*site) : 2;
+            code = name == "lost" ? lost(*site) : name == "late-beat" ? lateBeat(*site) : name == "restart" ? restart(*site) : name == "slow-platform" ? slowPlatform(*site) : 2;
         else
             record("the site did not come up");
         record(code == 1 ? "the rule is broken" : code == 0 ? "the rule held" : "the case could not run");
