--- a/review/rig-2/cases.cpp
+++ b/review/rig-2/cases.cpp
@@ -112,6 +112,50 @@
     return broken > 0 ? 1 : 0;
 }
 
+// LOST. A client reads a large answer at 1.42 MB a second, as behind a line of 12 Mbit/s; the whole of it takes
+// 2.9 s, less than the route's timeout. The front machine gets SIGTERM 2.1 s before the request is sent.
+int large(Site& site) {
+    const int fd = dial(site.system.front(), 64 * 1024);
+    if (fd < 0) return 2;
+    timeoutAfter(fd, 5);
+    std::string in;
+    const auto receive = [&](std::size_t most) {
+        std::string bytes(most, ' ');
+        const ssize_t n = ::recv(fd, bytes.data(), most, 0);
+        if (n > 0) in.append(bytes, 0, static_cast<std::size_t>(n));
+        return n > 0;
+    };
+    sendAll(fd, "GREET board user\r\n");
+    while (in.find("\r\n") == in.npos)
+        if (!receive(100)) return 2;
+    in.clear();
+    sleepFor(1);
+    const double told = now();
+    if (trouble) {
+        site.system.signal("agent", SIGTERM);
+        site.system.signal("proxy", SIGTERM);
+    }
+    sleepFor(2.1);
+    const double sent = now();
+    record("client sends q1 READ large");
+    sendAll(fd, "QUERY q1 READ large\r\n");
+    bool whole = false;
+    while (!whole && receive(15'000)) {
+        whole = in.size() > 100 && in.find("READY I", in.size() - 100) != in.npos;
+        sleepFor(sent + double(in.size()) / 1.42e6 - now());
+    }
+    const double ended = now();
+    ::close(fd);
+    char text[200];
+    std::snprintf(text, sizeof text, "client has %zu bytes of the answer, %s, %.3f s after it was sent", in.size(),
+                  whole ? "the whole" : "cut", ended - sent);
+    record(text);
+    record("SIGTERM was " + std::to_string(sent - told) + " s before the request");
+    const bool reached = !site.stores.arrivals().empty();
+    if (!reached) return 2;
+    return !whole && ended < sent + 3.0 ? 1 : whole ? 0 : 2;
+}
+
 // Sessions that read now and then; a session that ends is opened again.
 class Readers {
 public:
@@ -267,7 +311,7 @@
         const std::map<std::string, double> lags{{"s0", 0.06}, {"s1", 0.1}, {"s2", 0.03}};
         auto site = std::make_unique<Site>(argv[2], argv[3], name == "lost" ? 0.2 : 0.011, lags);
         if (site->begin())
-            code = name == "lost" ? lost(*site) : name == "late-beat" ? lateBeat(*site) : name == "slow-platform" ? slowPlatform(*site) : 2;
+            code = name == "lost" ? lost(*site) : name == "late-beat" ? lateBeat(*site) : name == "large" ? large(*site) : name == "slow-platform" ? slowPlatform(*site) : 2;
         else
             record("the site did not come up");
         record(code == 1 ? "the rule is broken" : code == 0 ? "the rule held" : "the case could not run");
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -67,8 +67,9 @@
 }
 }  // namespace
 
-int dial(const std::string& address) {
+int dial(const std::string& address, int receiveBuffer) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (receiveBuffer) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
     const sockaddr_in to = where(address);
     const int one = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
@@ -404,7 +405,11 @@
                     }
                 }
                 if (verb == "COMMIT") inTransaction = failed = wrote = false;
-                answer = (writes || verb == "COMMIT" ? "" : "ROW " + std::to_string(store.received) + "\r\n") +
+                // "Any number of ROW": a read of the thing `large` has 62 rows of 64 KiB.
+                std::string rows = "ROW " + std::to_string(store.received) + "\r\n";
+                if (verb == "READ" && rest == "large")
+                    for (int row = 0; row < 62; ++row) rows += "ROW " + std::string(64 * 1024, 'x') + "\r\n";
+                answer = (writes || verb == "COMMIT" ? "" : rows) +
                          "DONE " + name + "." + std::to_string(++stamp_) + "\r\n";
             }
         } else {
--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -19,7 +19,7 @@
 void record(const std::string& line);
 
 int freePorts();  // the first of fifty
-int dial(const std::string& address);
+int dial(const std::string& address, int receiveBuffer = 0);  // 0: the system's own
 bool sendAll(int fd, const std::string& bytes);
 void timeoutAfter(int fd, double seconds);
 void serve(const std::string& address, std::function<void(int)> onConnection);
